Add the design, the workspace and the interfaces of the decision library

The headers fix the interfaces between the packages, so that the packages can be written side by side.

A review of the confirmation rule against the known counterexample of entries from earlier terms led to the rule that a promoted primary starts its term with an empty entry and that only members whose log has reached that term count towards a confirmation.

--- /dev/null
+++ b/packages/core/failover.h
@@ -0,0 +1,73 @@
+#ifndef NUTMEGLOOM_CORE_FAILOVER_H
+#define NUTMEGLOOM_CORE_FAILOVER_H
+
+#include "core/messages.h"
+#include "core/tables.h"
+
+#include <functional>
+#include <map>
+
+namespace nutmegloom {
+
+class OwnershipSystem;
+
+/// Steps of a promotion.
+enum class FailoverPhase { Idle, Fencing, Waiting, Promoting };
+std::string_view nameOf(FailoverPhase Phase);
+
+/// Finds failed primaries and promotes a replacement in active groups; also
+/// the planned change of a leaving primary.
+class FailoverSystem {
+public:
+  struct Hooks {
+    /// Sends a command to a database's control port.
+    std::function<void(const ControlRequest &)> SendControl;
+    /// Asks for a status; the answer comes back through onStatus.
+    std::function<void(const DatabaseId &, std::uint64_t After, Milliseconds)>
+        PollStatus;
+    /// Random number, for the jitter of retries.
+    std::function<std::uint64_t()> Random;
+    /// Reports a phase change of a group, for logs and metrics.
+    std::function<void(const GroupId &, FailoverPhase, std::uint64_t Term,
+                       const std::string &Detail)>
+        Report;
+  };
+
+  /// Promoter identifies this process: host name and incarnation.
+  FailoverSystem(Tables &Data, const Policy &Limits,
+                 const OwnershipSystem &Owners, std::string Promoter,
+                 Hooks Functions);
+
+  /// A status arrived. SentAt is when its request was sent.
+  void onStatus(const DatabaseStatus &Status, TimePoint SentAt, TimePoint Now);
+  void onStatusFailed(const DatabaseId &Database, TimePoint Now);
+  /// A control command was granted; Status is the database's reply.
+  void onControlGranted(const ControlRequest &Request,
+                        const DatabaseStatus &Status, TimePoint SentAt,
+                        TimePoint Now);
+  /// A control command was refused: the database has promised Term.
+  void onControlRefused(const ControlRequest &Request, std::uint64_t Term,
+                        TimePoint Now);
+  void onControlFailed(const ControlRequest &Request, TimePoint Now);
+
+  /// Polls statuses that are due and moves promotions on.
+  void tick(TimePoint Now);
+
+  FailoverPhase phaseOf(const GroupId &Group) const;
+
+private:
+  struct Attempt;
+  struct Poll;
+
+  Tables &Data_;
+  const Policy &Limits_;
+  const OwnershipSystem &Owners_;
+  std::string Promoter_;
+  Hooks Functions_;
+  std::map<GroupId, Attempt> Attempts_;
+  std::map<DatabaseId, Poll> Polls_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_FAILOVER_H
--- /dev/null
+++ b/packages/core/freshness.cpp
@@ -0,0 +1,27 @@
+#include "core/freshness.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+Freshness judgeFreshness(const Position &Required, std::uint64_t LogTerm,
+                         std::uint64_t Applied, const TermHistory &Terms) {
+  // A later term may have cut the log below the required entry. An index alone
+  // would count the entries of the new term that took its place.
+  const auto Next =
+      std::find_if(Terms.begin(), Terms.end(), [&](const TermStart &Entry) {
+        return Entry.Term > Required.Term;
+      });
+  if (Next != Terms.end() && Required.Index > Next->Start)
+    return Freshness::Lost;
+  if (LogTerm < Required.Term || Applied < Required.Index)
+    return Freshness::Stale;
+  return Freshness::Fresh;
+}
+
+bool holdsPosition(const Position &Wanted, std::uint64_t LogTerm,
+                   std::uint64_t Received, const TermHistory &Terms) {
+  return judgeFreshness(Wanted, LogTerm, Received, Terms) == Freshness::Fresh;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/membership.h
@@ -0,0 +1,67 @@
+#ifndef NUTMEGLOOM_CORE_MEMBERSHIP_H
+#define NUTMEGLOOM_CORE_MEMBERSHIP_H
+
+#include "core/tables.h"
+
+#include <functional>
+
+namespace nutmegloom {
+
+/// An entry of the platform's lagging list of hosts.
+struct ListedHost {
+  std::string Name;
+  /// "entry" or "database".
+  std::string Role;
+  ZoneName Zone;
+  RegionName Region;
+  std::string PeerAddress;
+  bool Leaving = false;
+};
+
+/// Keeps the host table: candidates from the platform's list, from settings
+/// and from peers; liveness from heartbeats.
+class MembershipSystem {
+public:
+  struct Hooks {
+    /// Sends a heartbeat to the peer at the host's address.
+    std::function<void(const HostEntity &, const PeerHeartbeat &)>
+        SendHeartbeat;
+  };
+
+  MembershipSystem(Tables &Data, const Policy &Limits, PeerHeartbeat Self,
+                   Hooks Functions);
+
+  /// Puts the platform's list in force. Marks leaving databases as well.
+  void onHostList(const std::vector<ListedHost> &List, TimePoint Now);
+  /// A heartbeat or the reply to one.
+  void onHeartbeat(const PeerHeartbeat &Beat, TimePoint Now);
+  /// The peer connection to the host broke or could not be made.
+  void onPeerBroken(const HostName &Host, TimePoint Now);
+  /// Adds a peer known by its address only, from the host's settings.
+  void addSeed(const std::string &PeerAddress);
+
+  void setState(HostState State);
+  void setConfigurationVersion(std::uint64_t Version);
+  const PeerHeartbeat &self() const { return Self_; }
+
+  /// True when neither a majority of the peers that were live nor the store
+  /// was heard within the suspicion time.
+  bool isCutOff(TimePoint Now) const;
+  void onStoreHeard(TimePoint Now);
+
+  /// Sends heartbeats that are due and suspects silent hosts.
+  void tick(TimePoint Now);
+
+private:
+  Tables &Data_;
+  const Policy &Limits_;
+  PeerHeartbeat Self_;
+  Hooks Functions_;
+  std::vector<std::string> Seeds_;
+  std::optional<TimePoint> LastBeat_;
+  std::optional<TimePoint> StoreHeard_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_MEMBERSHIP_H
--- /dev/null
+++ b/packages/protocol/platformclient.h
@@ -0,0 +1,67 @@
+#ifndef NUTMEGLOOM_PROTOCOL_PLATFORMCLIENT_H
+#define NUTMEGLOOM_PROTOCOL_PLATFORMCLIENT_H
+
+#include "core/membership.h"
+
+#include <functional>
+#include <memory>
+#include <variant>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace nutmegloom {
+
+/// An object of the platform's store. Version 0 means that it doesn't exist.
+struct PlatformObject {
+  std::uint64_t Version = 0;
+  std::string Value;
+};
+
+enum class PlatformError {
+  /// The store could not be reached: nothing changed.
+  NotReached,
+  /// No answer came: a change may have taken effect.
+  NoAnswer,
+  /// The condition of an update failed: nothing changed.
+  ConditionFailed,
+  /// The answer could not be read.
+  Malformed,
+  /// The watch ended without a newer version.
+  Unchanged,
+};
+std::string_view nameOf(PlatformError Error);
+
+/// Client of the platform's object API and host list.
+class PlatformClient {
+public:
+  using ObjectHandler =
+      std::function<void(std::variant<PlatformObject, PlatformError>)>;
+  using ListHandler =
+      std::function<void(std::variant<std::vector<ListedHost>, PlatformError>)>;
+
+  virtual ~PlatformClient() = default;
+
+  virtual void get(const std::string &Kind, const std::string &Name,
+                   ObjectHandler Handler) = 0;
+  /// Replaces the object if its version is Expected; 0: it must not exist.
+  virtual void put(const std::string &Kind, const std::string &Name,
+                   std::uint64_t Expected, const std::string &Value,
+                   ObjectHandler Handler) = 0;
+  /// Waits for a version above After for at most Wait.
+  virtual void watch(const std::string &Kind, const std::string &Name,
+                     std::uint64_t After, Milliseconds Wait,
+                     ObjectHandler Handler) = 0;
+  virtual void listHosts(ListHandler Handler) = 0;
+};
+
+/// Makes a client for the platform at "IP:port". Each call has the timeout on
+/// top of its wait.
+std::shared_ptr<PlatformClient> makePlatformClient(boost::asio::io_context &Io,
+                                                   std::string Address,
+                                                   Milliseconds Timeout);
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_PROTOCOL_PLATFORMCLIENT_H
--- /dev/null
+++ b/tests/core/freshnesstest.cpp
@@ -0,0 +1,41 @@
+#include "core/freshness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class FreshnessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FreshnessTest);
+  CPPUNIT_TEST(isStaleBelowTheRequiredIndex);
+  CPPUNIT_TEST(isFreshInALaterTermThatKeptTheWrite);
+  CPPUNIT_TEST(reportsALostWriteAlthoughTheIndexIsHigher);
+  CPPUNIT_TEST(isStaleInAnEarlierTerm);
+  CPPUNIT_TEST_SUITE_END();
+
+  const TermHistory OneTerm_{{1, 0}};
+  const TermHistory TwoTerms_{{1, 0}, {2, 8}};
+
+  void isStaleBelowTheRequiredIndex() {
+    CPPUNIT_ASSERT(judgeFreshness({1, 5}, 1, 4, OneTerm_) == Freshness::Stale);
+    CPPUNIT_ASSERT(judgeFreshness({1, 5}, 1, 5, OneTerm_) == Freshness::Fresh);
+  }
+
+  void isFreshInALaterTermThatKeptTheWrite() {
+    CPPUNIT_ASSERT(judgeFreshness({1, 8}, 2, 9, TwoTerms_) == Freshness::Fresh);
+    CPPUNIT_ASSERT(judgeFreshness({1, 8}, 2, 7, TwoTerms_) == Freshness::Stale);
+  }
+
+  // An index alone would call entry 10 fresh once term 2 has grown past it.
+  void reportsALostWriteAlthoughTheIndexIsHigher() {
+    CPPUNIT_ASSERT(judgeFreshness({1, 10}, 2, 12, TwoTerms_) ==
+                   Freshness::Lost);
+  }
+
+  void isStaleInAnEarlierTerm() {
+    CPPUNIT_ASSERT(judgeFreshness({2, 9}, 1, 10, OneTerm_) == Freshness::Stale);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FreshnessTest);
+
+} // namespace nutmegloom
