--- a/packages/protocol/sessiontokencodec.h
+++ b/packages/protocol/sessiontokencodec.h
@@ -2,18 +2,12 @@
 #define NUTMEGLOOM_PROTOCOL_SESSIONTOKENCODEC_H
 
 #include "core/messages.h"
+#include "settings/settings.h"
 
 #include <variant>
 
 namespace nutmegloom {
 
-/// A key for the MAC of session tokens.
-struct TokenKey {
-  std::string Id;
-  /// At least 16 bytes.
-  std::string Secret;
-};
-
 enum class TokenError { Malformed, UnknownKey, BadMac, TooLarge };
 std::string_view nameOf(TokenError Error);
 
