--- /dev/null
+++ b/packages/core/confirmationqueue.h
@@ -0,0 +1,50 @@
+#ifndef NUTMEGLOOM_CORE_CONFIRMATIONQUEUE_H
+#define NUTMEGLOOM_CORE_CONFIRMATIONQUEUE_H
+
+#include "core/tables.h"
+
+#include <functional>
+#include <list>
+#include <map>
+
+namespace nutmegloom {
+
+class TermCheck;
+
+/// Holds answers of primaries back until their position is confirmed and the
+/// term check holds.
+class ConfirmationQueue {
+public:
+  /// Confirmed is false when the primary was replaced in the meantime.
+  using Handler = std::function<void(bool Confirmed, TimePoint)>;
+
+  ConfirmationQueue(const Tables &Data, const TermCheck &Terms)
+      : Data_(Data), Terms_(Terms) {}
+
+  /// Wanted is absent for a read, which needs the term check only. The handler
+  /// is called from check.
+  void add(TaskId Task, const GroupId &Group, std::uint64_t Term,
+           std::optional<Position> Wanted, Handler Done);
+  void remove(TaskId Task, const GroupId &Group);
+
+  /// Ends what can be ended in all groups.
+  void check(TimePoint Now);
+
+private:
+  struct Entry {
+    TaskId Task = 0;
+    std::uint64_t Term = 0;
+    std::optional<Position> Wanted;
+    Handler Done;
+  };
+
+  bool isReplaced(const GroupId &Group, std::uint64_t Term) const;
+
+  const Tables &Data_;
+  const TermCheck &Terms_;
+  std::map<GroupId, std::list<Entry>> Entries_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_CONFIRMATIONQUEUE_H
--- /dev/null
+++ b/packages/core/connectionpool.cpp
@@ -0,0 +1,165 @@
+#include "core/connectionpool.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+/// An unused connection is closed after this time, so that a host which no
+/// longer owns the group leaves its share to the next owner.
+static constexpr Milliseconds IdleTimeout{30000};
+static constexpr Milliseconds OpenTimeout{2000};
+static constexpr Milliseconds FirstPause{50};
+static constexpr Milliseconds LongestPause{1000};
+
+ConnectionPool::ConnectionPool(const Tables &Data, Hooks Functions)
+    : Data_(Data), Functions_(std::move(Functions)) {}
+
+std::optional<ConnectionId> ConnectionPool::take(const DatabaseId &Database) {
+  const auto Found = Members_.find(Database);
+  if (Found == Members_.end() || Found->second.Idle.empty())
+    return std::nullopt;
+  const ConnectionId Id = Found->second.Idle.back();
+  Found->second.Idle.pop_back();
+  Connections_.at(Id).Use = State::Taken;
+  return Id;
+}
+
+void ConnectionPool::provide(const DatabaseId &Database, std::size_t Wanted,
+                             TimePoint Now) {
+  Member &Target = Members_[Database];
+  const std::size_t Share = shareOf(Database);
+  while (Target.Idle.size() + Target.Opening < Wanted && Target.Total < Share &&
+         Now >= Target.OpenAfter) {
+    const ConnectionId Id = ++LastConnection_;
+    Connections_[Id] = Connection{Database, State::Opening, Now};
+    ++Target.Opening;
+    ++Target.Total;
+    Functions_.Open(Id, Database);
+  }
+}
+
+void ConnectionPool::release(ConnectionId Id, TimePoint Now) {
+  const auto Found = Connections_.find(Id);
+  if (Found == Connections_.end() || Found->second.Use != State::Taken)
+    return;
+  const auto Database = Data_.Databases.find(Found->second.Database);
+  if (Database == Data_.Databases.end() || Database->second.Leaving) {
+    drop(Id);
+    return;
+  }
+  Found->second.Use = State::Idle;
+  Found->second.Since = Now;
+  Members_[Found->second.Database].Idle.push_back(Id);
+}
+
+void ConnectionPool::forget(ConnectionId Id) {
+  const auto Found = Connections_.find(Id);
+  Member &Target = Members_[Found->second.Database];
+  if (Found->second.Use == State::Opening)
+    --Target.Opening;
+  std::erase(Target.Idle, Id);
+  --Target.Total;
+  Connections_.erase(Found);
+}
+
+void ConnectionPool::drop(ConnectionId Id) {
+  if (!Connections_.contains(Id))
+    return;
+  forget(Id);
+  Functions_.Close(Id);
+}
+
+void ConnectionPool::dropIdle(const DatabaseId &Database) {
+  const std::vector<ConnectionId> Idle = Members_[Database].Idle;
+  for (const ConnectionId Id : Idle)
+    drop(Id);
+}
+
+std::optional<DatabaseId> ConnectionPool::onOpened(ConnectionId Id,
+                                                   TimePoint Now) {
+  const auto Found = Connections_.find(Id);
+  if (Found == Connections_.end() || Found->second.Use != State::Opening)
+    return std::nullopt;
+  Found->second.Use = State::Idle;
+  Found->second.Since = Now;
+  Member &Target = Members_[Found->second.Database];
+  --Target.Opening;
+  Target.Failures = 0;
+  Target.Idle.push_back(Id);
+  return Found->second.Database;
+}
+
+std::optional<DatabaseId> ConnectionPool::onClosed(ConnectionId Id,
+                                                   TimePoint Now) {
+  const auto Found = Connections_.find(Id);
+  if (Found == Connections_.end())
+    return std::nullopt;
+  DatabaseId Database = Found->second.Database;
+  if (Found->second.Use == State::Opening)
+    pauseOpening(Members_[Database], Now);
+  forget(Id);
+  return Database;
+}
+
+void ConnectionPool::pauseOpening(Member &Target, TimePoint Now) {
+  const auto Doublings = std::min<std::uint32_t>(Target.Failures, 5);
+  Target.OpenAfter =
+      Now + std::min(FirstPause * (1 << Doublings), LongestPause);
+  ++Target.Failures;
+}
+
+void ConnectionPool::onRefused(const DatabaseId &Database, TimePoint Now) {
+  pauseOpening(Members_[Database], Now);
+}
+
+void ConnectionPool::tick(TimePoint Now) {
+  std::vector<ConnectionId> Ended;
+  for (const auto &[Id, Entry] : Connections_) {
+    const auto Database = Data_.Databases.find(Entry.Database);
+    const bool Unwanted =
+        Database == Data_.Databases.end() || Database->second.Leaving;
+    if (Entry.Use == State::Idle &&
+        (Unwanted || Now - Entry.Since > IdleTimeout))
+      Ended.push_back(Id);
+    if (Entry.Use == State::Opening && Now - Entry.Since > OpenTimeout) {
+      pauseOpening(Members_[Entry.Database], Now);
+      Ended.push_back(Id);
+    }
+  }
+  for (const ConnectionId Id : Ended)
+    drop(Id);
+}
+
+std::size_t ConnectionPool::shareOf(const DatabaseId &Database) const {
+  const auto Found = Data_.Databases.find(Database);
+  if (Found == Data_.Databases.end())
+    return 0;
+  // Two hosts that both believe to be the owner stay below the cap together.
+  const std::size_t Half = Found->second.ConnectionCap / 2;
+  return Half > 1 ? Half - 1 : 1;
+}
+
+std::size_t ConnectionPool::countOf(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found == Members_.end() ? 0 : Found->second.Total;
+}
+
+std::size_t ConnectionPool::idleOf(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found == Members_.end() ? 0 : Found->second.Idle.size();
+}
+
+bool ConnectionPool::cannotConnect(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found != Members_.end() && Found->second.Failures > 0 &&
+         Found->second.Idle.empty();
+}
+
+std::optional<DatabaseId> ConnectionPool::databaseOf(ConnectionId Id) const {
+  const auto Found = Connections_.find(Id);
+  if (Found == Connections_.end())
+    return std::nullopt;
+  return Found->second.Database;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/deadlines.h
@@ -0,0 +1,32 @@
+#ifndef NUTMEGLOOM_CORE_DEADLINES_H
+#define NUTMEGLOOM_CORE_DEADLINES_H
+
+#include "core/types.h"
+
+#include <set>
+#include <utility>
+
+namespace nutmegloom {
+
+/// Times at which tasks are due, earliest first.
+class Deadlines {
+public:
+  void add(TimePoint At, TaskId Task) { Entries_.emplace(At, Task); }
+  void remove(TimePoint At, TaskId Task) { Entries_.erase({At, Task}); }
+
+  /// Removes and returns the earliest task that is due.
+  std::optional<TaskId> takeDue(TimePoint Now) {
+    if (Entries_.empty() || Entries_.begin()->first > Now)
+      return std::nullopt;
+    const TaskId Task = Entries_.begin()->second;
+    Entries_.erase(Entries_.begin());
+    return Task;
+  }
+
+private:
+  std::set<std::pair<TimePoint, TaskId>> Entries_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_DEADLINES_H
--- /dev/null
+++ b/packages/core/dispatcher.cpp
@@ -0,0 +1,321 @@
+#include "core/dispatcher.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+/// Youngest age at which an exchange is examined for progress.
+static constexpr Milliseconds ProgressCheckAge{500};
+/// Time for which a database is avoided after it lost an exchange.
+static constexpr Milliseconds UnresponsivePause{1000};
+
+struct Dispatcher::Work {
+  DatabaseId Database;
+  bool Scheduled = false;
+  bool NeedsConnection = true;
+  bool Started = false;
+  StartHandler Start;
+};
+
+struct Dispatcher::Exchange {
+  ExchangeId Id = 0;
+  DatabaseId Database;
+  TimePoint SentAt;
+  SendOptions Options;
+  /// Empty once the exchange is abandoned.
+  ResultHandler Handler;
+};
+
+struct Dispatcher::Member {
+  explicit Member(std::uint32_t Slots, const Policy &Limits)
+      : Queue(Slots, Limits) {}
+  Scheduler Queue;
+  /// Work that has what it needs but for a connection.
+  std::deque<WorkId> WantConnection;
+  std::optional<TimePoint> LostAt;
+};
+
+Dispatcher::Dispatcher(const Tables &Data, const Policy &Limits,
+                       Hooks Functions, ExchangeId FirstExchange)
+    : Data_(Data), Limits_(Limits), Functions_(std::move(Functions)),
+      Pool_(Data, Functions_.Connections), NextExchange_(FirstExchange) {}
+
+Dispatcher::~Dispatcher() = default;
+
+Dispatcher::Member &Dispatcher::memberOf(const DatabaseId &Database) {
+  const auto Entity = Data_.Databases.find(Database);
+  const std::uint32_t Slots =
+      Entity == Data_.Databases.end() ? 1 : Entity->second.Slots;
+  const auto [Found, Inserted] = Members_.try_emplace(Database, Slots, Limits_);
+  if (!Inserted)
+    Found->second.Queue.setSlots(Slots);
+  return Found->second;
+}
+
+std::variant<WorkId, AdmissionRefusal>
+Dispatcher::enqueue(const DatabaseId &Database, ScheduledWork Scheduled,
+                    bool NeedsConnection, StartHandler Start, TimePoint Now) {
+  const WorkId Id = ++LastWork_;
+  Scheduled.Task = Id;
+  if (auto Refusal = memberOf(Database).Queue.submit(Scheduled, Now))
+    return *Refusal;
+  Work_[Id] = Work{Database, true, NeedsConnection, false, std::move(Start)};
+  return Id;
+}
+
+WorkId Dispatcher::acquire(const DatabaseId &Database, StartHandler Start,
+                           TimePoint Now) {
+  const WorkId Id = ++LastWork_;
+  Work_[Id] = Work{Database, false, true, false, std::move(Start)};
+  memberOf(Database).WantConnection.push_front(Id);
+  Pool_.provide(Database, 1, Now);
+  return Id;
+}
+
+bool Dispatcher::withdraw(WorkId Id, TimePoint Now) {
+  const auto Found = Work_.find(Id);
+  if (Found == Work_.end() || Found->second.Started)
+    return false;
+  Member &Target = memberOf(Found->second.Database);
+  if (std::erase(Target.WantConnection, Id) > 0 && Found->second.Scheduled)
+    Target.Queue.finish(Id, false, Now);
+  else
+    Target.Queue.remove(Id);
+  Work_.erase(Found);
+  return true;
+}
+
+void Dispatcher::finish(WorkId Id, ConnectionId Connection, TimePoint Now) {
+  freeSlot(Id, false, Now);
+  if (Connection != 0)
+    Pool_.release(Connection, Now);
+}
+
+void Dispatcher::freeSlot(WorkId Id, bool Executed, TimePoint Now) {
+  const auto Found = Work_.find(Id);
+  if (Found == Work_.end())
+    return;
+  if (Found->second.Scheduled)
+    memberOf(Found->second.Database).Queue.finish(Id, Executed, Now);
+  Work_.erase(Found);
+}
+
+ExchangeId Dispatcher::send(ConnectionId Connection, DatabaseRequest Request,
+                            const SendOptions &Options, ResultHandler Handler,
+                            TimePoint Now) {
+  const ExchangeId Id = NextExchange_++;
+  Request.Exchange = Id;
+  const std::optional<DatabaseId> Database = Pool_.databaseOf(Connection);
+  Exchanges_[Connection] = Exchange{Id, Database.value_or(DatabaseId()), Now,
+                                    Options, std::move(Handler)};
+  ConnectionOf_[Id] = Connection;
+  Functions_.Send(Connection, Request);
+  return Id;
+}
+
+void Dispatcher::abandon(ExchangeId Id) {
+  const auto Found = ConnectionOf_.find(Id);
+  if (Found != ConnectionOf_.end())
+    Exchanges_.at(Found->second).Handler = nullptr;
+}
+
+void Dispatcher::release(ConnectionId Connection, TimePoint Now) {
+  if (Exchanges_.contains(Connection)) {
+    drop(Connection, Now);
+    return;
+  }
+  Pool_.release(Connection, Now);
+}
+
+void Dispatcher::drop(ConnectionId Connection, TimePoint Now) {
+  const auto Found = Exchanges_.find(Connection);
+  if (Found != Exchanges_.end()) {
+    const WorkId Work = Found->second.Options.Work;
+    ConnectionOf_.erase(Found->second.Id);
+    Exchanges_.erase(Found);
+    freeSlot(Work, false, Now);
+  }
+  Pool_.drop(Connection);
+}
+
+void Dispatcher::onConnectionOpened(ConnectionId Connection, TimePoint Now) {
+  Pool_.onOpened(Connection, Now);
+}
+
+void Dispatcher::onConnectionClosed(ConnectionId Connection, TimePoint Now) {
+  if (Exchanges_.contains(Connection)) {
+    DatabaseFailure Lost;
+    Lost.Exchange = Exchanges_.at(Connection).Id;
+    Lost.Detail = "the connection was closed";
+    onFailure(Connection, Lost, Now);
+    return;
+  }
+  Pool_.onClosed(Connection, Now);
+}
+
+void Dispatcher::endExchange(ConnectionId Connection,
+                             const ExchangeResult &Result, bool Executed,
+                             bool Closed, TimePoint Now) {
+  const auto Found = Exchanges_.find(Connection);
+  const Exchange Ended = std::move(Found->second);
+  Exchanges_.erase(Found);
+  ConnectionOf_.erase(Ended.Id);
+  freeSlot(Ended.Options.Work, Executed, Now);
+  if (Closed)
+    Pool_.onClosed(Connection, Now);
+  else if (Ended.Options.Keep && !Ended.Handler)
+    Pool_.drop(Connection);
+  else if (!Ended.Options.Keep)
+    Pool_.release(Connection, Now);
+  if (Ended.Handler)
+    Ended.Handler(Result, Now);
+}
+
+void Dispatcher::onAnswer(ConnectionId Connection, const DatabaseAnswer &Answer,
+                          TimePoint Now) {
+  const auto Found = Exchanges_.find(Connection);
+  // An answer to an exchange that is not the one in progress belongs to work
+  // that was given up. It must not reach the work that came after.
+  if (Found == Exchanges_.end())
+    return;
+  if (Found->second.Id == Answer.Exchange) {
+    endExchange(Connection, Answer, true, false, Now);
+    return;
+  }
+  DatabaseFailure Mixed;
+  Mixed.Exchange = Found->second.Id;
+  Mixed.Kind = DatabaseFailureKind::Malformed;
+  Mixed.Detail = "the answer belongs to another exchange";
+  Functions_.Connections.Close(Connection);
+  endExchange(Connection, Mixed, false, true, Now);
+}
+
+void Dispatcher::onFailure(ConnectionId Connection,
+                           const DatabaseFailure &Failure, TimePoint Now) {
+  const auto Found = Exchanges_.find(Connection);
+  if (Found == Exchanges_.end() || Found->second.Id != Failure.Exchange)
+    return;
+  const DatabaseId Database = Found->second.Database;
+  const bool Closed = !provesNotExecuted(Failure.Kind) ||
+                      Failure.Kind == DatabaseFailureKind::NotConnected;
+  if (Failure.Kind == DatabaseFailureKind::TooManyConnections) {
+    Pool_.onRefused(Database, Now);
+    Functions_.Connections.Close(Connection);
+    endExchange(Connection, Failure, false, true, Now);
+    return;
+  }
+  endExchange(Connection, Failure, false, Closed, Now);
+}
+
+void Dispatcher::pump(const DatabaseId &Database, TimePoint Now) {
+  Member &Target = memberOf(Database);
+  while (const auto Id = Target.Queue.next(Now)) {
+    const auto Found = Work_.find(*Id);
+    if (Found == Work_.end()) {
+      Target.Queue.finish(*Id, false, Now);
+      continue;
+    }
+    if (Found->second.NeedsConnection) {
+      Target.WantConnection.push_back(*Id);
+      continue;
+    }
+    Found->second.Started = true;
+    const StartHandler Start = Found->second.Start;
+    Start(*Id, 0, Now);
+  }
+  while (!Target.WantConnection.empty()) {
+    const auto Connection = Pool_.take(Database);
+    if (!Connection)
+      break;
+    const WorkId Id = Target.WantConnection.front();
+    Target.WantConnection.pop_front();
+    Work &Ready = Work_.at(Id);
+    Ready.Started = true;
+    const StartHandler Start = Ready.Start;
+    Start(Id, *Connection, Now);
+  }
+  if (!Target.WantConnection.empty())
+    Pool_.provide(Database, Target.WantConnection.size(), Now);
+}
+
+bool Dispatcher::isLost(const Exchange &Candidate, TimePoint Now) {
+  const Duration Age = Now - Candidate.SentAt;
+  if (Age < ProgressCheckAge)
+    return false;
+  const Milliseconds Service =
+      memberOf(Candidate.Database).Queue.serviceTimeOf(Candidate.Options.Shape);
+  const Milliseconds CheckAge = std::max(ProgressCheckAge, 2 * Service);
+  // A read is simply sent again. Giving up a write costs a settlement, so it
+  // gets the whole time of silence.
+  const Milliseconds LostAge =
+      Candidate.Options.Harmless
+          ? CheckAge
+          : std::max(CheckAge, Limits_.ConnectionSilence);
+  if (Age < LostAge)
+    return false;
+  const auto Found = Data_.Databases.find(Candidate.Database);
+  if (Found == Data_.Databases.end())
+    return true;
+  const DatabaseEntity &Database = Found->second;
+  if (Database.FailingSince)
+    return true;
+  // Only a status that was requested well after the exchange was sent shows
+  // that the database doesn't know of it.
+  if (!Database.StatusSentAt ||
+      *Database.StatusSentAt < Candidate.SentAt + ProgressCheckAge / 2)
+    return false;
+  const std::vector<std::string> &Executing = Database.Status.Executing;
+  return std::find(Executing.begin(), Executing.end(),
+                   std::to_string(Candidate.Id)) == Executing.end();
+}
+
+void Dispatcher::tick(TimePoint Now) {
+  LastTick_ = Now;
+  std::vector<ConnectionId> Lost;
+  for (const auto &[Connection, Candidate] : Exchanges_)
+    if (isLost(Candidate, Now))
+      Lost.push_back(Connection);
+  for (const ConnectionId Connection : Lost) {
+    const auto Found = Exchanges_.find(Connection);
+    if (Found == Exchanges_.end())
+      continue;
+    const DatabaseId Database = Found->second.Database;
+    memberOf(Database).LostAt = Now;
+    DatabaseFailure Failure;
+    Failure.Exchange = Found->second.Id;
+    Failure.Detail = "the connection stopped responding";
+    Functions_.Connections.Close(Connection);
+    // What silenced this connection may have silenced the idle ones as well.
+    Pool_.dropIdle(Database);
+    endExchange(Connection, Failure, false, true, Now);
+  }
+  Pool_.tick(Now);
+  std::vector<DatabaseId> Databases;
+  for (const auto &[Database, Target] : Members_)
+    if (Target.Queue.waiting() > 0 || !Target.WantConnection.empty())
+      Databases.push_back(Database);
+  for (const DatabaseId &Database : Databases)
+    pump(Database, Now);
+}
+
+std::vector<WorkId> Dispatcher::takeExpired(TimePoint Now) {
+  std::vector<WorkId> Expired;
+  for (auto &[Database, Target] : Members_)
+    for (const TaskId Id : Target.Queue.takeExpired(Now))
+      if (Work_.erase(Id) > 0)
+        Expired.push_back(Id);
+  return Expired;
+}
+
+Milliseconds Dispatcher::expectedWait(const DatabaseId &Database,
+                                      std::uint64_t Shape) {
+  return memberOf(Database).Queue.expectedWait(Shape, LastTick_);
+}
+
+bool Dispatcher::isUnresponsive(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found != Members_.end() && Found->second.LostAt &&
+         LastTick_ - *Found->second.LostAt < UnresponsivePause;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/entrysystem.cpp
@@ -0,0 +1,359 @@
+#include "core/entrysystem.h"
+
+#include "core/ownerparts.h"
+#include "core/replicachoice.h"
+#include "core/transactionid.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+/// Attempts are told from tasks by this bit, because the surroundings number
+/// the tasks. Each attempt has an identifier of its own, so that the late
+/// answer of one is never taken for that of the next.
+static constexpr TaskId AttemptBit = TaskId(1) << 63;
+/// An owner answers at the deadline; its answer needs time to arrive.
+static constexpr Milliseconds AnswerGrace{100};
+static constexpr std::uint32_t MaximumRedirects = 4;
+static constexpr Milliseconds FirstPause{10};
+/// Pauses are up to this much longer, at random, so that retries of many
+/// callers don't arrive together.
+static constexpr std::uint64_t JitterMilliseconds = 20;
+static constexpr Milliseconds NotReadyRetryAfter{1000};
+
+EntrySystem::EntrySystem(const Tables &Data, const Policy &Limits,
+                         const OwnershipSystem &Owners,
+                         const PeerHeartbeat &Self, EngineCounters &Counters,
+                         Hooks Functions)
+    : Data_(Data), Limits_(Limits), Owners_(Owners), Self_(Self.Host),
+      Region_(Self.Region), Counters_(Counters),
+      Functions_(std::move(Functions)), LastAttempt_(AttemptBit) {}
+
+bool EntrySystem::isAttempt(TaskId Id) { return (Id & AttemptBit) != 0; }
+
+EntrySystem::Task *EntrySystem::find(TaskId Id) {
+  const auto Found = Tasks_.find(Id);
+  return Found == Tasks_.end() ? nullptr : &Found->second;
+}
+
+EntrySystem::Task *EntrySystem::findByAttempt(TaskId Attempt) {
+  const auto Found = TaskOf_.find(Attempt);
+  return Found == TaskOf_.end() ? nullptr : find(Found->second);
+}
+
+static bool isTransactionStep(RequestStep Step) {
+  return Step == RequestStep::TransactionStatement ||
+         Step == RequestStep::Commit || Step == RequestStep::Rollback;
+}
+
+bool EntrySystem::isInTransaction(const Task &Target) const {
+  return isTransactionStep(Target.Request.Step);
+}
+
+bool EntrySystem::hasKey(const Task &Target) const {
+  return Target.Request.Step == RequestStep::Commit ||
+         (Target.Request.Step == RequestStep::Statement &&
+          Target.Request.Kind == StatementKind::Write);
+}
+
+void EntrySystem::submit(TaskId Id, const CallerRequest &Request,
+                         TimePoint Now) {
+  ++Counters_.Requests;
+  Task &Target = Tasks_[Id];
+  Target.Id = Id;
+  Target.Request = Request;
+  Target.Asking = Request.Step;
+  Target.Timer = Request.Deadline;
+  Timers_.add(Target.Timer, Id);
+  if (isInTransaction(Target)) {
+    const auto Parts = parseTransactionId(Request.Transaction);
+    if (!Parts) {
+      finish(Target, makeError(Outcome::NotRun, ErrorCode::NotFound,
+                               "the transaction id is not valid"));
+      return;
+    }
+    Target.Request.Group = Parts->Group;
+    Target.Target = Parts->Owner;
+  } else if (Draining_) {
+    // Steps of open transactions are served until the host stops.
+    finish(Target, makeError(Outcome::NotRun, ErrorCode::NotReady,
+                             "the host is stopping", NotReadyRetryAfter));
+    return;
+  }
+  if (!Data_.Groups.contains(Target.Request.Group)) {
+    finish(Target, makeError(Outcome::NotRun, ErrorCode::NotFound,
+                             "group \"" + Target.Request.Group +
+                                 "\" is not in the configuration"));
+    return;
+  }
+  if (hasKey(Target) && Target.Request.Key.empty())
+    Target.Request.Key = Functions_.NewIdentifier();
+  Budget_.onRequest(Request.Caller);
+  if (!isInTransaction(Target))
+    Target.Region = regionFor(Target.Request);
+  attempt(Target, Now);
+}
+
+RegionName EntrySystem::regionFor(const CallerRequest &Request) const {
+  const bool AtPrimary = Request.Kind == StatementKind::Write ||
+                         Request.Step == RequestStep::Begin ||
+                         needsPrimary(Request);
+  if (AtPrimary) {
+    const auto Group = Data_.Groups.find(Request.Group);
+    if (Group != Data_.Groups.end() && Group->second.Active &&
+        Group->second.Primary) {
+      const auto Primary = Data_.Databases.find(*Group->second.Primary);
+      if (Primary != Data_.Databases.end())
+        return Primary->second.Region;
+    }
+    const auto Learnt = PrimaryRegion_.find(Request.Group);
+    if (Learnt != PrimaryRegion_.end())
+      return Learnt->second;
+  }
+  return Owners_.entryRegionOf(Request.Group, Region_);
+}
+
+HostName EntrySystem::ownerFor(const Task &Target) const {
+  const std::vector<HostName> Owners =
+      Owners_.ownersOf(Target.Request.Group, Target.Region);
+  for (const HostName &Host : Owners)
+    if (!Target.Failed.contains(Host))
+      return Host;
+  // All have failed once, or no host is known to be live. Any host can serve
+  // any task, so this one does.
+  return Self_;
+}
+
+bool EntrySystem::isGone(const HostName &Host, TimePoint Now) const {
+  if (Host == Self_)
+    return false;
+  const auto Found = Data_.Hosts.find(Host);
+  return Found == Data_.Hosts.end() || Found->second.Suspected ||
+         (Found->second.LastHeard &&
+          Now - *Found->second.LastHeard > Limits_.Suspect);
+}
+
+void EntrySystem::attempt(Task &Target, TimePoint Now) {
+  Target.RetryAt.reset();
+  const bool AtTransactionOwner =
+      isInTransaction(Target) && Target.Asking != RequestStep::Settle;
+  if (!AtTransactionOwner)
+    Target.Target = ownerFor(Target);
+  CallerRequest Request = Target.Request;
+  Request.Step = Target.Asking;
+  const TaskId Attempt = ++LastAttempt_;
+  Target.Attempt = Attempt;
+  Target.Local = Target.Target == Self_;
+  TaskOf_[Attempt] = Target.Id;
+  if (Target.Local) {
+    Functions_.Submit(Attempt, Request, Now);
+    return;
+  }
+  ++Counters_.Forwarded;
+  Functions_.Forward(Target.Target, Attempt, Request);
+}
+
+void EntrySystem::onAnswer(TaskId Attempt, const CallerAnswer &Answer,
+                           TimePoint Now) {
+  Task *Target = findByAttempt(Attempt);
+  TaskOf_.erase(Attempt);
+  if (Target == nullptr || Target->Attempt != Attempt)
+    return;
+  Target->Attempt = 0;
+  if (!Answer.RedirectRegion.empty()) {
+    follow(*Target, Answer, Now);
+    return;
+  }
+  if (Answer.Error == ErrorCode::NotReady && Answer.Result == Outcome::NotRun &&
+      !Target->MayHaveRun) {
+    onFailed(*Target, false, Now);
+    return;
+  }
+  CallerAnswer Final = Answer;
+  if (Target->Asking == RequestStep::Rollback &&
+      Target->Request.Step == RequestStep::TransactionStatement) {
+    // The rollback after a failed step has proved that nothing is left of it.
+    Final = makeError(Answer.Result, ErrorCode::TransactionLost,
+                      "the owner of the transaction could not be reached");
+  } else if (Target->Asking == Target->Request.Step && Target->MayHaveRun &&
+             Answer.Result == Outcome::NotRun) {
+    // This attempt did not run, but an earlier one may have.
+    Final.Result = Outcome::Unknown;
+  }
+  finish(*Target, std::move(Final));
+}
+
+void EntrySystem::follow(Task &Target, const CallerAnswer &Answer,
+                         TimePoint Now) {
+  Target.MayHaveRun |= Answer.Result != Outcome::NotRun;
+  PrimaryRegion_[Target.Request.Group] = Answer.RedirectRegion;
+  // A write that may have run is never sent again, only settled.
+  if (Answer.Result != Outcome::NotRun && hasKey(Target))
+    Target.Asking = RequestStep::Settle;
+  Target.Region = Answer.RedirectRegion;
+  Target.Failed.clear();
+  if (++Target.Redirects > MaximumRedirects) {
+    // Hosts disagree about who owns the region. They agree again soon.
+    Target.Redirects = 0;
+    tryLater(Target, Now);
+    return;
+  }
+  attempt(Target, Now);
+}
+
+void EntrySystem::tryLater(Task &Target, TimePoint Now) {
+  const Milliseconds Jitter(
+      static_cast<std::int64_t>(Functions_.Random() % JitterMilliseconds));
+  Target.RetryAt = Now + FirstPause + Jitter;
+  Retries_.add(*Target.RetryAt, Target.Id);
+}
+
+void EntrySystem::onForwardFailed(TaskId Attempt, bool Sent, TimePoint Now) {
+  Task *Target = findByAttempt(Attempt);
+  TaskOf_.erase(Attempt);
+  if (Target == nullptr || Target->Attempt != Attempt)
+    return;
+  Target->Attempt = 0;
+  if (isInTransaction(*Target) && Target->Asking != RequestStep::Settle)
+    onStepFailed(*Target, Sent, Now);
+  else
+    onFailed(*Target, Sent, Now);
+}
+
+void EntrySystem::onFailed(Task &Target, bool Sent, TimePoint Now) {
+  Target.Failed.insert(Target.Target);
+  if (Sent && Target.Asking != RequestStep::Settle && hasKey(Target)) {
+    // Finding the outcome is not a retry and needs no credit.
+    Target.MayHaveRun = true;
+    Target.Asking = RequestStep::Settle;
+    tryLater(Target, Now);
+    return;
+  }
+  if (Sent && Target.Request.Step != RequestStep::Begin)
+    Target.MayHaveRun = true;
+  retry(Target, Now);
+}
+
+void EntrySystem::retry(Task &Target, TimePoint Now) {
+  if (Target.Asking == RequestStep::Settle) {
+    tryLater(Target, Now);
+    return;
+  }
+  if (!Budget_.take(Target.Request.Caller)) {
+    finish(Target,
+           makeError(Target.MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                     ErrorCode::Overloaded,
+                     "the owner could not be reached and the caller's retries "
+                     "are used up",
+                     NotReadyRetryAfter));
+    return;
+  }
+  ++Counters_.Retries;
+  tryLater(Target, Now);
+}
+
+void EntrySystem::onStepFailed(Task &Target, bool Sent, TimePoint Now) {
+  if (Target.Request.Step == RequestStep::Commit) {
+    Target.MayHaveRun |= Sent;
+    Target.Asking = RequestStep::Settle;
+    Target.Region = regionFor(Target.Request);
+    Target.Failed.insert(Target.Target);
+    tryLater(Target, Now);
+    return;
+  }
+  if (Target.Request.Step == RequestStep::TransactionStatement && Sent &&
+      Target.Asking != RequestStep::Rollback) {
+    // The statement may be part of the transaction now. If its owner is still
+    // there, the transaction must not be committed any more.
+    Target.MayHaveRun = true;
+    Target.Asking = RequestStep::Rollback;
+    tryLater(Target, Now);
+    return;
+  }
+  // Without its owner the transaction can't be committed, and the database
+  // rolls it back when the owner's connection closes.
+  finish(Target,
+         makeError(Outcome::NotRun, ErrorCode::TransactionLost,
+                   "the owner of the transaction could not be reached"));
+}
+
+void EntrySystem::onOwnersGone(TimePoint Now) {
+  std::vector<TaskId> Attempts;
+  for (const auto &[Id, Target] : Tasks_)
+    if (Target.Attempt != 0 && !Target.Local && isGone(Target.Target, Now))
+      Attempts.push_back(Target.Attempt);
+  for (const TaskId Attempt : Attempts)
+    onForwardFailed(Attempt, true, Now);
+}
+
+void EntrySystem::expire(Task &Target) {
+  if (isInTransaction(Target) && !hasKey(Target)) {
+    finish(Target, makeError(Outcome::Unknown, ErrorCode::TransactionLost,
+                             "the owner of the transaction did not answer"));
+    return;
+  }
+  const bool MayHaveRun = Target.MayHaveRun || Target.Attempt != 0;
+  finish(Target,
+         makeError(MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                   MayHaveRun && hasKey(Target) ? ErrorCode::OutcomeUnknown
+                                                : ErrorCode::DeadlineExceeded,
+                   "no owner answered before the deadline"));
+}
+
+bool EntrySystem::cancel(TaskId Id, TimePoint Now) {
+  Task *Target = find(Id);
+  if (Target == nullptr)
+    return false;
+  const TaskId Attempt = Target->Attempt;
+  const bool Local = Target->Local;
+  const CallerRequest Request = Target->Request;
+  const HostName Owner = Target->Target;
+  Timers_.remove(Target->Timer, Id);
+  Tasks_.erase(Id);
+  if (Attempt == 0)
+    return true;
+  if (Local) {
+    TaskOf_.erase(Attempt);
+    Functions_.Cancel(Attempt, Now);
+  } else if (Request.Step == RequestStep::TransactionStatement) {
+    rollBack(Owner, Request.Transaction, Request.Group, Now);
+  }
+  return true;
+}
+
+void EntrySystem::rollBack(const HostName &Owner,
+                           const std::string &Transaction, const GroupId &Group,
+                           TimePoint Now) {
+  CallerRequest Request;
+  Request.Step = RequestStep::Rollback;
+  Request.Group = Group;
+  Request.Transaction = Transaction;
+  Request.Deadline = Now + Limits_.StatementTimeout;
+  Functions_.Forward(Owner, ++LastAttempt_, Request);
+}
+
+void EntrySystem::tick(TimePoint Now) {
+  onOwnersGone(Now);
+  while (const auto Due = Retries_.takeDue(Now)) {
+    Task *Target = find(*Due);
+    if (Target != nullptr && Target->Attempt == 0 && Target->RetryAt &&
+        *Target->RetryAt <= Now)
+      attempt(*Target, Now);
+  }
+  while (const auto Due = Timers_.takeDue(Now - AnswerGrace))
+    if (Task *Target = find(*Due))
+      expire(*Target);
+}
+
+void EntrySystem::finish(Task &Target, CallerAnswer Answer) {
+  const TaskId Id = Target.Id;
+  // The position belongs to the group that the database is a member of. A
+  // caller that names a transaction only doesn't name the group.
+  Timers_.remove(Target.Timer, Id);
+  if (Target.Attempt != 0)
+    TaskOf_.erase(Target.Attempt);
+  Tasks_.erase(Id);
+  Functions_.Answer(Id, Answer);
+}
+
+} // namespace nutmegloom
--- a/packages/core/failover.h
+++ b/packages/core/failover.h
@@ -37,6 +37,9 @@
   FailoverSystem(Tables &Data, const Policy &Limits,
                  const OwnershipSystem &Owners, std::string Promoter,
                  Hooks Functions);
+  ~FailoverSystem();
+  FailoverSystem(const FailoverSystem &) = delete;
+  FailoverSystem &operator=(const FailoverSystem &) = delete;
 
   /// A status arrived. SentAt is when its request was sent.
   void onStatus(const DatabaseStatus &Status, TimePoint SentAt, TimePoint Now);
--- /dev/null
+++ b/packages/core/groupaccess.cpp
@@ -0,0 +1,59 @@
+#include "core/groupaccess.h"
+
+#include "core/ownership.h"
+#include "core/termcheck.h"
+
+namespace nutmegloom {
+
+GroupAccess::GroupAccess(const Tables &Data, const OwnershipSystem &Owners,
+                         const TermCheck &Terms, HostName Self,
+                         RegionName Region)
+    : Data_(Data), Owners_(Owners), Terms_(Terms), Self_(std::move(Self)),
+      Region_(std::move(Region)) {}
+
+const GroupEntity *GroupAccess::find(const GroupId &Group) const {
+  const auto Found = Data_.Groups.find(Group);
+  return Found == Data_.Groups.end() ? nullptr : &Found->second;
+}
+
+const DatabaseEntity *
+GroupAccess::findDatabase(const DatabaseId &Database) const {
+  const auto Found = Data_.Databases.find(Database);
+  return Found == Data_.Databases.end() ? nullptr : &Found->second;
+}
+
+bool GroupAccess::serves(const GroupId &Group, const RegionName &Region) const {
+  if (Region == Region_)
+    return true;
+  const auto [Entry, Inserted] = Served_.try_emplace({Group, Region}, false);
+  if (Inserted) {
+    // A region without live hosts is served by the first host of any region.
+    const std::vector<HostName> Owners = Owners_.ownersOf(Group, Region);
+    Entry->second = Owners.empty() || Owners.front() == Self_;
+  }
+  return Entry->second;
+}
+
+PrimaryAccess GroupAccess::primaryOf(const GroupId &Group,
+                                     TimePoint Now) const {
+  PrimaryAccess Access;
+  const GroupEntity *Entity = find(Group);
+  if (Entity == nullptr || !Entity->Primary)
+    return Access;
+  const DatabaseEntity *Primary = findDatabase(*Entity->Primary);
+  // A write sent to a primary that is failing or that a majority no longer
+  // follows could only end in a settlement; while it waits it can still be
+  // reported as not run.
+  if (Primary == nullptr || Primary->FailingSince)
+    return Access;
+  Access.Database = Primary->Id;
+  Access.Term = Entity->Term;
+  Access.Region = Primary->Region;
+  if (!serves(Group, Primary->Region))
+    Access.Answer = PrimaryAccess::Kind::Redirect;
+  else if (Terms_.holds(Group, Entity->Term, Now))
+    Access.Answer = PrimaryAccess::Kind::Ready;
+  return Access;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/ownerparts.cpp
@@ -0,0 +1,65 @@
+#include "core/ownerparts.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+/// Longest part of a write's time that is kept for its settlement.
+static constexpr Milliseconds SettleReserve{1000};
+
+CallerAnswer makeError(Outcome Result, ErrorCode Error, std::string Detail,
+                       Milliseconds RetryAfter) {
+  CallerAnswer Answer;
+  Answer.Result = Result;
+  Answer.Error = Error;
+  Answer.Detail = std::move(Detail);
+  Answer.RetryAfter = RetryAfter;
+  return Answer;
+}
+
+TimePoint settleTimeOf(TimePoint Deadline, TimePoint Now) {
+  return Deadline - std::min<Duration>(SettleReserve, (Deadline - Now) / 4);
+}
+
+Position laterOf(const std::optional<Position> &Required,
+                 const Position &Seen) {
+  return Required ? std::max(*Required, Seen) : Seen;
+}
+
+CallerAnswer makeWriteAnswer(const CallerRequest &Request,
+                             const DatabaseAnswer &Answer) {
+  CallerAnswer Result;
+  Result.Result = Outcome::Run;
+  Result.Body = Answer.Result;
+  Result.Seen =
+      laterOf(Request.Required, Position{Answer.LogTerm, Answer.Index});
+  Result.Database = Answer.Database;
+  Result.Replayed = Answer.Replayed;
+  return Result;
+}
+
+CallerAnswer makeSettledAnswer(const CallerRequest &Request,
+                               const SettleResult &Result, ErrorCode Cause) {
+  if (Result.Answer == SettleResult::Kind::Recorded) {
+    CallerAnswer Answer = makeWriteAnswer(Request, Result.Recorded);
+    Answer.Replayed = true;
+    return Answer;
+  }
+  if (Result.Answer == SettleResult::Kind::Redirect) {
+    CallerAnswer Answer =
+        makeError(Outcome::Unknown, ErrorCode::OutcomeUnknown,
+                  "the outcome is found by another region's owner");
+    Answer.RedirectRegion = Result.Region;
+    return Answer;
+  }
+  // A later try needs a new key, so no time for one is given with a cause that
+  // lies in the key itself.
+  const Milliseconds RetryAfter =
+      Cause == ErrorCode::NoPrimary ? NoPrimaryRetryAfter : Milliseconds(0);
+  return makeError(Outcome::NotRun, Cause,
+                   "the write was not executed and its idempotency key is "
+                   "closed; send it again with a new key",
+                   RetryAfter);
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/ownerparts.h
@@ -0,0 +1,48 @@
+#ifndef NUTMEGLOOM_CORE_OWNERPARTS_H
+#define NUTMEGLOOM_CORE_OWNERPARTS_H
+
+#include "core/engine.h"
+#include "core/settlement.h"
+
+namespace nutmegloom {
+
+/// What the systems of the owner role share.
+struct OwnerParts {
+  Tables &Data;
+  const Policy &Limits;
+  const GroupAccess &Access;
+  const TermCheck &Terms;
+  Dispatcher &Databases;
+  ConfirmationQueue &Confirmations;
+  Settlement &Settlements;
+  EngineCounters &Counters;
+  HostName Self;
+  std::function<void(TaskId, const CallerAnswer &)> Answer;
+  std::function<std::string()> NewIdentifier;
+};
+
+/// An answer that only reports an error.
+CallerAnswer makeError(Outcome Result, ErrorCode Error, std::string Detail,
+                       Milliseconds RetryAfter = Milliseconds(0));
+
+/// When to settle a write that has no answer: early enough before its deadline
+/// that the outcome can still be found.
+TimePoint settleTimeOf(TimePoint Deadline, TimePoint Now);
+
+/// Later of what the session requires and a position that it has now seen.
+Position laterOf(const std::optional<Position> &Required, const Position &Seen);
+
+/// The answer to a write or a commit that a database has executed.
+CallerAnswer makeWriteAnswer(const CallerRequest &Request,
+                             const DatabaseAnswer &Answer);
+
+/// The answer to a write whose settlement has ended. Cause is why it began.
+CallerAnswer makeSettledAnswer(const CallerRequest &Request,
+                               const SettleResult &Result, ErrorCode Cause);
+
+/// Time after which callers may try again while a group has no primary.
+constexpr Milliseconds NoPrimaryRetryAfter{1000};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_OWNERPARTS_H
--- /dev/null
+++ b/packages/core/readjudge.cpp
@@ -0,0 +1,78 @@
+#include "core/readjudge.h"
+
+#include "core/termcheck.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+std::uint64_t termAt(const TermHistory &Terms, std::uint64_t Index) {
+  std::uint64_t Term = 0;
+  for (const TermStart &Entry : Terms)
+    if (Entry.Start < Index)
+      Term = Entry.Term;
+  return Term;
+}
+
+bool isOnDiscardedBranch(const GroupEntity &Group, std::uint64_t LogTerm,
+                         std::uint64_t Applied) {
+  if (Group.Terms.empty() || LogTerm >= Group.Terms.back().Term)
+    return false;
+  const auto Own = std::find_if(
+      Group.Terms.begin(), Group.Terms.end(),
+      [&](const TermStart &Entry) { return Entry.Term == LogTerm; });
+  // A term that the group's log doesn't name was cut off as a whole.
+  if (Own == Group.Terms.end())
+    return true;
+  const auto Next = std::next(Own);
+  return Next != Group.Terms.end() && Applied > Next->Start;
+}
+
+bool ReadJudge::isLost(const Position &Required, const GroupEntity &Group,
+                       TimePoint Now) const {
+  if (Group.Terms.empty())
+    return false;
+  const TermStart &Last = Group.Terms.back();
+  if (Last.Term != Group.Term ||
+      judgeFreshness(Required, Last.Term, Required.Index, Group.Terms) !=
+          Freshness::Lost)
+    return false;
+  // Until a majority holds the first entry of the present term, a later
+  // promotion may still choose a log that has the required entry.
+  return Terms_.isConfirmed(Group.Id, Group.Term,
+                            Position{Group.Term, Last.Start + 1}) &&
+         Terms_.holds(Group.Id, Group.Term, Now);
+}
+
+Freshness ReadJudge::judge(const CallerRequest &Request,
+                           const DatabaseAnswer &Answer,
+                           const GroupEntity &Group, TimePoint Now) const {
+  if (Request.Required && isLost(*Request.Required, Group, Now))
+    return Freshness::Lost;
+  if (isOnDiscardedBranch(Group, Answer.LogTerm, Answer.Index))
+    return Freshness::Stale;
+  if (Request.MaximumAge && Answer.Age > *Request.MaximumAge)
+    return Freshness::Stale;
+  if (!Request.Required)
+    return Freshness::Fresh;
+  const Freshness Verdict = judgeFreshness(*Request.Required, Answer.LogTerm,
+                                           Answer.Index, Answer.Terms);
+  // The history of one database doesn't prove a loss, because its own branch
+  // may be the one that is cut off.
+  return Verdict == Freshness::Lost ? Freshness::Stale : Verdict;
+}
+
+std::optional<Position> ReadJudge::seen(const CallerRequest &Request,
+                                        const DatabaseAnswer &Answer,
+                                        const GroupEntity &Group) const {
+  // A position above the confirmed index may be lost in a failover. The
+  // session would then be told of a lost write that it never made.
+  const std::uint64_t Index =
+      std::min(Answer.Index, Terms_.confirmedIndex(Group.Id));
+  const Position Read{termAt(Answer.Terms, Index), Index};
+  if (Read.Term == 0 || (Request.Required && *Request.Required >= Read))
+    return Request.Required;
+  return Read;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/replicachoice.cpp
@@ -0,0 +1,186 @@
+#include "core/replicachoice.h"
+
+#include "core/readjudge.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegloom {
+
+/// After a stale answer only observed positions count for this time.
+static constexpr Milliseconds PredictionPause{1000};
+/// A prediction reaches no further ahead than this.
+static constexpr Milliseconds LongestPrediction{400};
+/// Span over which the rate of a replica is measured.
+static constexpr Milliseconds RateSpan{100};
+static constexpr double RateGain = 0.5;
+/// Part of the predicted progress that is relied on.
+static constexpr double PredictionShare = 0.8;
+
+bool needsPrimary(const CallerRequest &Request) {
+  return !Request.Required && !Request.MaximumAge;
+}
+
+static double toMilliseconds(Duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+ReplicaChoice::ReplicaChoice(const Tables &Data, const Policy &Limits,
+                             const GroupAccess &Access, Hooks Functions)
+    : Data_(Data), Limits_(Limits), Access_(Access),
+      Functions_(std::move(Functions)) {}
+
+void ReplicaChoice::observe(const DatabaseId &Database, std::uint64_t LogTerm,
+                            std::uint64_t Applied, TimePoint Now) {
+  Progress &Known = Progress_[Database];
+  if (LogTerm != Known.LogTerm || Applied < Known.Applied) {
+    // Another log or one that was cut: what was measured before is void. An
+    // answer that was overtaken by a newer one looks the same and costs one
+    // measurement.
+    Known.LogTerm = LogTerm;
+    Known.Applied = Known.RateFrom = Applied;
+    Known.At = Known.RateSince = Now;
+    return;
+  }
+  Known.Applied = Applied;
+  Known.At = Now;
+  if (Now - Known.RateSince < RateSpan)
+    return;
+  const double Rate = static_cast<double>(Applied - Known.RateFrom) /
+                      toMilliseconds(Now - Known.RateSince);
+  Known.Rate += RateGain * (Rate - Known.Rate);
+  Known.RateFrom = Applied;
+  Known.RateSince = Now;
+}
+
+void ReplicaChoice::observeTerm(const DatabaseId &Database,
+                                std::uint64_t Term) {
+  Progress &Known = Progress_[Database];
+  Known.Term = std::max(Known.Term, Term);
+}
+
+void ReplicaChoice::onStale(const DatabaseId &Database, TimePoint Now) {
+  Progress_[Database].StaleAt = Now;
+}
+
+std::uint64_t ReplicaChoice::predictedIndex(const DatabaseId &Database,
+                                            TimePoint Now) const {
+  const auto Found = Progress_.find(Database);
+  if (Found == Progress_.end())
+    return 0;
+  const Progress &Known = Found->second;
+  if (Known.StaleAt && Now - *Known.StaleAt < PredictionPause)
+    return Known.Applied;
+  const Duration Ahead = std::min<Duration>(Now - Known.At, LongestPrediction);
+  const double Steps = PredictionShare * Known.Rate * toMilliseconds(Ahead);
+  return Known.Applied + static_cast<std::uint64_t>(std::max(0.0, Steps));
+}
+
+std::uint64_t ReplicaChoice::termOf(const DatabaseId &Database) const {
+  // A fenced replica refuses the term of the group. Under the term that it has
+  // promised it goes on with reads while the group has no primary.
+  const auto Found = Progress_.find(Database);
+  const std::uint64_t Refused =
+      Found == Progress_.end() ? 0 : Found->second.Term;
+  const DatabaseEntity *Entity = Access_.findDatabase(Database);
+  return std::max(Entity == nullptr ? 0 : Entity->Status.Term, Refused);
+}
+
+bool ReplicaChoice::isUsable(const DatabaseEntity &Candidate) const {
+  return !Candidate.Leaving && Candidate.StatusSentAt &&
+         !Candidate.FailingSince && !Functions_.IsUnresponsive(Candidate.Id);
+}
+
+bool ReplicaChoice::isFreshEnough(const CallerRequest &Request,
+                                  const GroupEntity &Group,
+                                  const DatabaseEntity &Candidate,
+                                  TimePoint Now) const {
+  const DatabaseStatus &Status = Candidate.Status;
+  if (isOnDiscardedBranch(Group, Status.LogTerm, Status.Applied))
+    return false;
+  if (Request.MaximumAge) {
+    // The age is that of the replica's data when it answers. A replica that
+    // keeps up has about the same age all the time; one that has lost its
+    // primary grows older and says so in its next status.
+    if (Status.Age > *Request.MaximumAge)
+      return false;
+  }
+  if (!Request.Required)
+    return true;
+  return judgeFreshness(
+             *Request.Required, Status.LogTerm,
+             std::max(Status.Applied, predictedIndex(Candidate.Id, Now)),
+             Status.Terms) == Freshness::Fresh;
+}
+
+ReadPlace ReplicaChoice::choose(const CallerRequest &Request,
+                                const std::set<DatabaseId> &Avoided,
+                                TimePoint Now) const {
+  ReadPlace Place;
+  const GroupEntity *Group = Access_.find(Request.Group);
+  if (Group == nullptr)
+    return Place;
+  const PrimaryAccess Primary = Access_.primaryOf(Request.Group, Now);
+  RegionName RemoteReplica;
+  if (!needsPrimary(Request)) {
+    const DatabaseEntity *Best = nullptr;
+    std::pair<bool, Milliseconds> BestRank;
+    for (const DatabaseId &Member : Group->Members) {
+      const DatabaseEntity *Candidate = Access_.findDatabase(Member);
+      if (Candidate == nullptr || Group->Primary == Member ||
+          Candidate->Status.Role == DatabaseRole::Primary ||
+          Avoided.contains(Member) || !isUsable(*Candidate) ||
+          !isFreshEnough(Request, *Group, *Candidate, Now))
+        continue;
+      if (!Access_.serves(Request.Group, Candidate->Region)) {
+        RemoteReplica = Candidate->Region;
+        continue;
+      }
+      // A replica that has not been heard of for a while comes last.
+      const std::pair Rank(Now - *Candidate->StatusReceivedAt >
+                               3 * Limits_.StatusInterval,
+                           Functions_.Wait(Member, Request.Shape));
+      if (Best == nullptr || Rank < BestRank) {
+        Best = Candidate;
+        BestRank = Rank;
+      }
+    }
+    const bool InTime =
+        Best != nullptr && Now + BestRank.second <= Request.Deadline;
+    if (InTime || (Best != nullptr &&
+                   Primary.Answer == PrimaryAccess::Kind::Unavailable)) {
+      Place.Answer = ReadPlace::Kind::Database;
+      Place.Database = Best->Id;
+      return Place;
+    }
+  }
+  if (Primary.Answer == PrimaryAccess::Kind::Ready) {
+    Place.Answer = ReadPlace::Kind::Database;
+    Place.Database = Primary.Database;
+    Place.AtPrimary = true;
+  } else if (Primary.Answer == PrimaryAccess::Kind::Redirect) {
+    Place.Answer = ReadPlace::Kind::Redirect;
+    Place.Region = Primary.Region;
+  } else if (!RemoteReplica.empty()) {
+    Place.Answer = ReadPlace::Kind::Redirect;
+    Place.Region = RemoteReplica;
+  }
+  return Place;
+}
+
+bool ReplicaChoice::isStillGood(const CallerRequest &Request,
+                                const DatabaseId &Database,
+                                TimePoint Now) const {
+  const GroupEntity *Group = Access_.find(Request.Group);
+  const DatabaseEntity *Candidate = Access_.findDatabase(Database);
+  if (Group == nullptr || Candidate == nullptr)
+    return false;
+  if (Group->Primary == Database)
+    return Access_.primaryOf(Request.Group, Now).Answer ==
+           PrimaryAccess::Kind::Ready;
+  return !needsPrimary(Request) && isUsable(*Candidate) &&
+         Candidate->Status.Role != DatabaseRole::Primary &&
+         isFreshEnough(Request, *Group, *Candidate, Now);
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/replicachoice.h
@@ -0,0 +1,85 @@
+#ifndef NUTMEGLOOM_CORE_REPLICACHOICE_H
+#define NUTMEGLOOM_CORE_REPLICACHOICE_H
+
+#include "core/groupaccess.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace nutmegloom {
+
+/// Where a read is sent.
+struct ReadPlace {
+  enum class Kind { Database, Redirect, Wait };
+  Kind Answer = Kind::Wait;
+  DatabaseId Database;
+  /// The answer counts only while the term check holds.
+  bool AtPrimary = false;
+  RegionName Region;
+};
+
+/// True when only the primary may serve the read.
+bool needsPrimary(const CallerRequest &Request);
+
+/// Chooses the database that serves a read: required freshness, stated age,
+/// predicted position, queue and region. It only chooses: the position in the
+/// answer decides whether the answer is returned.
+class ReplicaChoice {
+public:
+  struct Hooks {
+    /// Time that the read would wait in the queue of the database.
+    std::function<Milliseconds(const DatabaseId &, std::uint64_t Shape)> Wait;
+    /// True when the database's connections don't work at present.
+    std::function<bool(const DatabaseId &)> IsUnresponsive;
+  };
+
+  ReplicaChoice(const Tables &Data, const Policy &Limits,
+                const GroupAccess &Access, Hooks Functions);
+
+  /// A status or an answer shows how far a database's reads see.
+  void observe(const DatabaseId &Database, std::uint64_t LogTerm,
+               std::uint64_t Applied, TimePoint Now);
+  /// A refusal shows the term that the database has promised.
+  void observeTerm(const DatabaseId &Database, std::uint64_t Term);
+  /// An answer was older than predicted.
+  void onStale(const DatabaseId &Database, TimePoint Now);
+
+  ReadPlace choose(const CallerRequest &Request,
+                   const std::set<DatabaseId> &Avoided, TimePoint Now) const;
+  /// True when a read that waits for the database may stay in its queue.
+  bool isStillGood(const CallerRequest &Request, const DatabaseId &Database,
+                   TimePoint Now) const;
+
+  /// Term under which the database executes reads.
+  std::uint64_t termOf(const DatabaseId &Database) const;
+  std::uint64_t predictedIndex(const DatabaseId &Database, TimePoint Now) const;
+
+private:
+  struct Progress {
+    std::uint64_t LogTerm = 0;
+    std::uint64_t Applied = 0;
+    TimePoint At;
+    /// Index and time from which the rate is measured.
+    std::uint64_t RateFrom = 0;
+    TimePoint RateSince;
+    /// Log entries applied per millisecond.
+    double Rate = 0;
+    std::optional<TimePoint> StaleAt;
+    std::uint64_t Term = 0;
+  };
+
+  bool isUsable(const DatabaseEntity &Candidate) const;
+  bool isFreshEnough(const CallerRequest &Request, const GroupEntity &Group,
+                     const DatabaseEntity &Candidate, TimePoint Now) const;
+
+  const Tables &Data_;
+  const Policy &Limits_;
+  const GroupAccess &Access_;
+  Hooks Functions_;
+  std::map<DatabaseId, Progress> Progress_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_REPLICACHOICE_H
--- /dev/null
+++ b/packages/core/settlement.h
@@ -0,0 +1,73 @@
+#ifndef NUTMEGLOOM_CORE_SETTLEMENT_H
+#define NUTMEGLOOM_CORE_SETTLEMENT_H
+
+#include "core/confirmationqueue.h"
+#include "core/dispatcher.h"
+#include "core/groupaccess.h"
+
+namespace nutmegloom {
+
+/// What became of a write with a key.
+struct SettleResult {
+  enum class Kind {
+    /// The write was executed; Answer is the recorded one.
+    Recorded,
+    /// The write was not executed and never will be.
+    Closed,
+    /// The primary is in a region that another host serves.
+    Redirect,
+  };
+  Kind Answer = Kind::Closed;
+  DatabaseAnswer Recorded;
+  RegionName Region;
+};
+
+/// Finds the outcome of writes that may have reached a database: closes the
+/// key at the present primary and waits until a majority holds the result.
+class Settlement {
+public:
+  using Handler = std::function<void(const SettleResult &, TimePoint)>;
+
+  Settlement(const GroupAccess &Access, Dispatcher &Databases,
+             ConfirmationQueue &Confirmations);
+
+  /// Tries until the outcome is known or cancel is called. The handler is
+  /// called once, from tick, from a result or from a confirmation.
+  void start(TaskId Task, const CallerRequest &Request, Handler Done);
+  void cancel(TaskId Task, TimePoint Now);
+  void tick(TimePoint Now);
+
+private:
+  enum class Step { Waiting, Acquiring, Sent, Confirming };
+  struct Entry {
+    GroupId Group;
+    std::string Key;
+    std::string TraceParent;
+    Handler Done;
+    Step State = Step::Waiting;
+    std::optional<TimePoint> NotBefore;
+    Milliseconds Pause{0};
+    DatabaseId Database;
+    WorkId Work = 0;
+    ExchangeId Exchange = 0;
+    TimePoint Since;
+  };
+
+  void tryNow(TaskId Task, Entry &Target, TimePoint Now);
+  void send(TaskId Task, WorkId Work, ConnectionId Connection, TimePoint Now);
+  void onResult(TaskId Task, std::uint64_t Term, const ExchangeResult &Result,
+                TimePoint Now);
+  void onConfirmed(TaskId Task, const DatabaseAnswer &Answer, bool Confirmed,
+                   TimePoint Now);
+  void tryAgain(Entry &Target, TimePoint Now);
+  void end(TaskId Task, const SettleResult &Result, TimePoint Now);
+
+  const GroupAccess &Access_;
+  Dispatcher &Databases_;
+  ConfirmationQueue &Confirmations_;
+  std::map<TaskId, Entry> Entries_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_SETTLEMENT_H
--- /dev/null
+++ b/packages/core/transactions.h
@@ -0,0 +1,103 @@
+#ifndef NUTMEGLOOM_CORE_TRANSACTIONS_H
+#define NUTMEGLOOM_CORE_TRANSACTIONS_H
+
+#include "core/deadlines.h"
+#include "core/ownerparts.h"
+
+#include <deque>
+#include <set>
+
+namespace nutmegloom {
+
+/// Serves interactive transactions. Each holds one connection until the
+/// database has confirmed that nothing is open on it.
+class TransactionSystem {
+public:
+  explicit TransactionSystem(OwnerParts &Parts);
+
+  /// Begin, TransactionStatement, Commit or Rollback.
+  void submit(TaskId Task, const CallerRequest &Request, TimePoint Now);
+  /// The caller of the step has gone: its transaction is rolled back, but a
+  /// commit goes on.
+  void cancel(TaskId Task, TimePoint Now);
+  void onConnectionClosed(ConnectionId Connection, TimePoint Now);
+  /// Work of a step was removed from its queue.
+  void onExpired(WorkId Work, TimePoint Now);
+  void tick(TimePoint Now);
+  void beginDrain() { Draining_ = true; }
+  bool isIdle() const { return Transactions_.empty() && Steps_.empty(); }
+  bool isInUse(const GroupId &Group) const;
+
+private:
+  enum class StepState { Waiting, Queued, Sent, Confirming, Settling };
+  /// A step that is in progress.
+  struct Step {
+    TaskId Id = 0;
+    CallerRequest Request;
+    StepState State = StepState::Waiting;
+    TimePoint Timer;
+    std::optional<TimePoint> NotBefore;
+    DatabaseId Database;
+    std::uint64_t Term = 0;
+    WorkId Work = 0;
+    ExchangeId Exchange = 0;
+    ErrorCode Cause = ErrorCode::TransactionLost;
+    /// The caller has gone.
+    bool Silent = false;
+  };
+  struct Transaction {
+    GroupId Group;
+    DatabaseId Database;
+    ConnectionId Connection = 0;
+    std::uint64_t Term = 0;
+    /// The database's own id.
+    std::string Inner;
+    TimePoint Deadline;
+    /// Step in progress; zero: none.
+    TaskId Step = 0;
+  };
+
+  Step *findStep(TaskId Task);
+  Transaction *findTransaction(const std::string &Id);
+
+  void begin(Step &Target, TimePoint Now);
+  void execute(Step &Target, TimePoint Now);
+  void commit(Step &Target, TimePoint Now);
+  void rollBack(Step &Target, TimePoint Now);
+  bool claim(Step &Target);
+
+  void onStart(TaskId Task, WorkId Work, ConnectionId Connection,
+               TimePoint Now);
+  void send(Step &Target, DatabaseOperation Operation, ConnectionId Connection,
+            TimePoint Now);
+  void onResult(TaskId Task, ConnectionId Connection,
+                const ExchangeResult &Result, TimePoint Now);
+  void onBegun(Step &Target, ConnectionId Connection,
+               const ExchangeResult &Result, TimePoint Now);
+  void onExecuted(Step &Target, const ExchangeResult &Result, TimePoint Now);
+  void onCommitted(Step &Target, const ExchangeResult &Result, TimePoint Now);
+  void onRolledBack(Step &Target, const ExchangeResult &Result, TimePoint Now);
+  void settle(Step &Target, ErrorCode Cause, TimePoint Now);
+  void onTimer(Step &Target, TimePoint Now);
+
+  void lose(Step &Target, const std::string &Detail, TimePoint Now);
+  void endTransaction(std::string Id, bool Clean, TimePoint Now);
+  void expireTransactions(TimePoint Now);
+  void finish(Step &Target, const CallerAnswer &Answer);
+  std::size_t countOf(const DatabaseId &Database) const;
+
+  OwnerParts &Parts_;
+  std::map<TaskId, Step> Steps_;
+  std::map<std::string, Transaction> Transactions_;
+  std::map<ConnectionId, std::string> TransactionOf_;
+  std::set<std::pair<TimePoint, std::string>> Expiries_;
+  std::map<WorkId, TaskId> StepOf_;
+  Deadlines Timers_;
+  /// Latest transactions that ended without a commit, oldest first.
+  std::deque<std::string> RolledBack_;
+  bool Draining_ = false;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_TRANSACTIONS_H
