--- a/packages/core/messages.h
+++ b/packages/core/messages.h
@@ -13,6 +13,9 @@
   /// Random identifier of the session, made by the first host that serves it.
   std::string SessionId;
   std::map<GroupId, Position> Positions;
+  /// Positions of other groups were left out for their size: a group that isn't
+  /// listed must be read at the primary.
+  bool Partial = false;
 };
 
 /// Step of a request: a single statement or a step of a transaction.
--- a/packages/core/tables.h
+++ b/packages/core/tables.h
@@ -71,7 +71,7 @@
 
 /// Limits and times of the decisions, from the settings.
 struct Policy {
-  Milliseconds StatusInterval{200};
+  Milliseconds StatusInterval{150};
   Milliseconds TermValidity{400};
   Milliseconds PrimarySilence{1000};
   Milliseconds Heartbeat{500};
--- a/packages/protocol/sessiontokencodec.h
+++ b/packages/protocol/sessiontokencodec.h
@@ -4,6 +4,7 @@
 #include "core/messages.h"
 #include "settings/settings.h"
 
+#include <optional>
 #include <variant>
 
 namespace nutmegloom {
@@ -17,7 +18,9 @@
 public:
   explicit SessionTokenCodec(std::vector<TokenKey> Keys);
 
-  /// Token as base64url text, safe in an HTTP header.
+  /// Token as base64url text, safe in an HTTP header. Positions beyond the
+  /// bound on the size are left out and the token is marked as partial. Empty
+  /// if there is no key.
   std::string encode(const SessionState &State) const;
   std::variant<SessionState, TokenError> decode(std::string_view Token) const;
 
@@ -25,6 +28,11 @@
   std::vector<TokenKey> Keys_;
 };
 
+/// Position that a read in the group must reach: zero if the session hasn't
+/// used the group; nothing if it isn't known, so that the primary must serve.
+std::optional<Position> requiredPosition(const SessionState &State,
+                                         const GroupId &Group);
+
 } // namespace nutmegloom
 
 #endif // NUTMEGLOOM_PROTOCOL_SESSIONTOKENCODEC_H
--- /dev/null
+++ b/packages/settings/head.cpp
@@ -0,0 +1,121 @@
+#include "settings/jsontext.h"
+#include "settings/textformats.h"
+
+#include <nlohmann/json.hpp>
+
+namespace nutmegloom {
+
+namespace {
+
+const std::string HeadFile = "head";
+
+Json writeEdit(const ConfigurationEdit &Edit) {
+  return {{"version", Edit.Version}, {"edit_id", Edit.EditId},
+          {"editor", Edit.Editor},   {"edited_at", Edit.EditedAt},
+          {"comment", Edit.Comment}, {"changed", Edit.Changed}};
+}
+
+/// Reads members of objects and collects an error for each that is missing or
+/// has the wrong type.
+class HeadReader {
+public:
+  std::string text(const Json &Object, const std::string &Key,
+                   const std::string &Path) {
+    const auto Found = Object.find(Key);
+    if (Found != Object.end() && Found->is_string())
+      return Found->get<std::string>();
+    addError(pathOfKey(Path, Key), "a text is expected");
+    return "";
+  }
+
+  std::uint64_t number(const Json &Object, const std::string &Key,
+                       const std::string &Path) {
+    const auto Found = Object.find(Key);
+    if (Found != Object.end() && Found->is_number_unsigned())
+      return Found->get<std::uint64_t>();
+    addError(pathOfKey(Path, Key), "a whole number from 0 is expected");
+    return 0;
+  }
+
+  ConfigurationEdit edit(const Json &Object, const std::string &Path) {
+    ConfigurationEdit Edit;
+    if (!Object.is_object()) {
+      addError(Path, "an object is expected");
+      return Edit;
+    }
+    Edit.Version = number(Object, "version", Path);
+    Edit.EditId = text(Object, "edit_id", Path);
+    Edit.Editor = text(Object, "editor", Path);
+    Edit.EditedAt = text(Object, "edited_at", Path);
+    Edit.Comment = text(Object, "comment", Path);
+    const Json Changed = Object.value("changed", Json());
+    if (!Changed.is_array())
+      addError(pathOfKey(Path, "changed"), "an array is expected");
+    for (const Json &Name : Changed) {
+      if (Name.is_string())
+        Edit.Changed.push_back(Name.get<std::string>());
+      else
+        addError(pathOfKey(Path, "changed"), "texts are expected");
+    }
+    return Edit;
+  }
+
+  void addError(const std::string &Path, const std::string &Message) {
+    Errors.push_back({HeadFile, Path, Message});
+  }
+
+  SettingsErrors Errors;
+};
+
+} // namespace
+
+std::variant<ConfigurationHead, SettingsErrors>
+parseHead(const std::string &Text) {
+  const auto Parsed = parseJsonText(Text, HeadFile);
+  if (const auto *Errors = std::get_if<SettingsErrors>(&Parsed))
+    return *Errors;
+  const Json &Object = std::get<Json>(Parsed);
+  if (!Object.is_object())
+    return SettingsErrors{{HeadFile, "", "an object is expected"}};
+  HeadReader Reader;
+  ConfigurationHead Head;
+  Head.Version = Reader.number(Object, "version", "");
+  Head.EditId = Reader.text(Object, "edit_id", "");
+  Head.Base = Reader.text(Object, "base", "");
+  const Json Overlays = Object.value("overlays", Json());
+  if (Overlays.is_object()) {
+    for (const auto &[Site, Overlay] : Overlays.items())
+      Head.Overlays[Site] = Reader.text(Overlays, Site, "overlays");
+  } else {
+    Reader.addError("overlays", "an object is expected");
+  }
+  const Json History = Object.value("history", Json());
+  if (History.is_array()) {
+    for (std::size_t Index = 0; Index < History.size(); ++Index)
+      Head.History.push_back(
+          Reader.edit(History[Index], pathOfIndex("history", Index)));
+  } else {
+    Reader.addError("history", "an array is expected");
+  }
+  if (!Reader.Errors.empty())
+    return Reader.Errors;
+  return Head;
+}
+
+std::string serializeHead(const ConfigurationHead &Head) {
+  const ConfigurationEdit Latest =
+      Head.History.empty() ? ConfigurationEdit() : Head.History.front();
+  Json Object{{"version", Head.Version},    {"edit_id", Head.EditId},
+              {"editor", Latest.Editor},    {"edited_at", Latest.EditedAt},
+              {"comment", Latest.Comment},  {"base", Head.Base},
+              {"overlays", Json::object()}, {"history", Json::array()}};
+  for (const auto &[Site, Text] : Head.Overlays)
+    Object["overlays"][Site] = Text;
+  for (const ConfigurationEdit &Edit : Head.History)
+    Object["history"].push_back(writeEdit(Edit));
+  // Texts that aren't UTF-8 are refused by the checks; here they must not end
+  // the process.
+  return Object.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/settings/hostsettings.cpp
@@ -0,0 +1,47 @@
+#include "settings/jsontext.h"
+#include "settings/schema.h"
+
+#include <nlohmann/json.hpp>
+
+namespace nutmegloom {
+
+namespace {
+
+const Schema &hostSchema() {
+  static const Schema Instance(hostFileSettings());
+  return Instance;
+}
+
+} // namespace
+
+std::variant<HostSettings, SettingsErrors>
+parseHostSettings(const std::string &Text, const std::string &File,
+                  const HostOverrides &Overrides) {
+  auto Parsed = parseJsonText(Text, File);
+  if (const auto *Errors = std::get_if<SettingsErrors>(&Parsed))
+    return *Errors;
+  Json &Settings = std::get<Json>(Parsed);
+  for (const auto &[Key, Value] : Overrides.Values)
+    if (Settings.is_object())
+      Settings[Key] = Value;
+  if (!Overrides.Seeds.empty() && Settings.is_object())
+    Settings["seeds"] = Overrides.Seeds;
+  SettingsErrors Errors;
+  hostSchema().check(Settings, Schema::Role::Whole, File, Errors);
+  if (!Errors.empty())
+    return Errors;
+  HostSettings Host;
+  Host.Name = Settings["name"].get<std::string>();
+  Host.Zone = Settings["zone"].get<std::string>();
+  // A site is an availability zone.
+  Host.Site = Host.Zone;
+  Host.Region = Settings["region"].get<std::string>();
+  Host.CallerAddress = Settings["caller_address"].get<std::string>();
+  Host.PeerAddress = Settings["peer_address"].get<std::string>();
+  Host.PlatformAddress = Settings["platform_address"].get<std::string>();
+  for (const Json &Seed : Settings.value("seeds", Json::array()))
+    Host.Seeds.push_back(Seed.get<std::string>());
+  return Host;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/settings/jsontext.cpp
@@ -0,0 +1,132 @@
+#include "settings/jsontext.h"
+
+#include "settings/textformats.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace nutmegloom {
+
+namespace {
+
+/// The settings nest 6 levels deep. The bound keeps the recursion of merge and
+/// checks shallow whatever the text is.
+constexpr int MaximumDepth = 16;
+
+/// Follows the parser's events to name the path of each value.
+class DuplicateCheck {
+public:
+  DuplicateCheck(const std::string &File, SettingsErrors &Errors)
+      : File_(File), Errors_(Errors) {}
+
+  bool onEvent(int Depth, Json::parse_event_t Event, const Json &Parsed) {
+    using Kind = Json::parse_event_t;
+    switch (Event) {
+    case Kind::object_start:
+    case Kind::array_start:
+      beginValue();
+      if (Depth >= MaximumDepth && !TooDeep_) {
+        TooDeep_ = true;
+        addError(path(), "nested deeper than " + std::to_string(MaximumDepth) +
+                             " levels, which no setting is");
+      }
+      Levels_.push_back({Event == Kind::array_start, 0, "", {}});
+      return Depth < MaximumDepth;
+    case Kind::object_end:
+    case Kind::array_end:
+      Levels_.pop_back();
+      return true;
+    case Kind::key:
+      onKey(Parsed.get<std::string>());
+      return true;
+    case Kind::value:
+      beginValue();
+      if (Parsed.is_null())
+        addError(path(), "null is not allowed; leave the setting out to get "
+                         "its default");
+      return true;
+    }
+    return true;
+  }
+
+private:
+  struct Level {
+    bool IsArray = false;
+    std::size_t Count = 0;
+    std::string Key;
+    std::set<std::string> Keys;
+  };
+
+  void onKey(const std::string &Key) {
+    Level &Object = Levels_.back();
+    Object.Key = Key;
+    if (!Object.Keys.insert(Key).second)
+      addError(path(), "the key " + quote(Key) +
+                           " is written twice; each key may be written once");
+  }
+
+  void beginValue() {
+    if (!Levels_.empty() && Levels_.back().IsArray)
+      ++Levels_.back().Count;
+  }
+
+  std::string path() const {
+    std::string Path;
+    for (const Level &Each : Levels_)
+      Path = Each.IsArray ? pathOfIndex(Path, Each.Count - 1)
+                          : pathOfKey(Path, Each.Key);
+    return Path;
+  }
+
+  void addError(std::string Path, std::string Message) {
+    Errors_.push_back({File_, std::move(Path), std::move(Message)});
+  }
+
+  const std::string &File_;
+  SettingsErrors &Errors_;
+  std::vector<Level> Levels_;
+  bool TooDeep_ = false;
+};
+
+} // namespace
+
+std::string pathOfKey(const std::string &Parent, const std::string &Key) {
+  return Parent.empty() ? Key : Parent + "." + Key;
+}
+
+std::string pathOfIndex(const std::string &Parent, std::size_t Index) {
+  return Parent + "[" + std::to_string(Index) + "]";
+}
+
+std::variant<Json, SettingsErrors> parseJsonText(const std::string &Text,
+                                                 const std::string &File) {
+  SettingsErrors Errors;
+  // The parser doesn't look inside comments, but the text is stored whole in
+  // the head, which must be valid UTF-8.
+  if (!isUtf8(Text))
+    return SettingsErrors{{File, "", "the text is not valid UTF-8"}};
+  DuplicateCheck Check(File, Errors);
+  try {
+    Json Value = Json::parse(
+        Text,
+        [&Check](int Depth, Json::parse_event_t Event, Json &Parsed) {
+          return Check.onEvent(Depth, Event, Parsed);
+        },
+        /*allow_exceptions=*/true, /*ignore_comments=*/true);
+    if (Errors.empty())
+      return Value;
+  } catch (const Json::parse_error &Error) {
+    // The library's text names line and column: "[json.exception...] parse
+    // error at line 3, column 5: ...".
+    const std::string What = Error.what();
+    const std::size_t Start = What.find("] ");
+    Errors.push_back(
+        {File, "", Start == std::string::npos ? What : What.substr(Start + 2)});
+  } catch (const Json::exception &Error) {
+    Errors.push_back({File, "", Error.what()});
+  }
+  return Errors;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/settings/schema.cpp
@@ -0,0 +1,245 @@
+#include "settings/schema.h"
+
+#include "settings/textformats.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+struct Schema::Node {
+  /// Children by name. A single child "*" stands for any name, a single child
+  /// "[]" for the elements of an array.
+  std::vector<std::pair<std::string, std::unique_ptr<Node>>> Children;
+  /// Set for a setting, absent for an object or an array.
+  const SettingRule *Rule = nullptr;
+
+  Node *find(std::string_view Name) const {
+    for (const auto &[Key, Child] : Children)
+      if (Key == Name)
+        return Child.get();
+    return nullptr;
+  }
+  Node &add(std::string_view Name) {
+    if (Node *Child = find(Name))
+      return *Child;
+    Children.emplace_back(Name, std::make_unique<Node>());
+    return *Children.back().second;
+  }
+  bool isRequired() const {
+    if (Rule)
+      return Rule->Default.empty();
+    return std::any_of(Children.begin(), Children.end(), [](const auto &Child) {
+      return Child.second->isRequired();
+    });
+  }
+  bool isOverlay() const {
+    if (Rule)
+      return Rule->Overlay;
+    return std::any_of(Children.begin(), Children.end(), [](const auto &Child) {
+      return Child.second->isOverlay();
+    });
+  }
+};
+
+namespace {
+
+std::vector<std::string> splitPath(std::string_view Path) {
+  std::vector<std::string> Parts;
+  std::size_t Start = 0;
+  while (Start < Path.size()) {
+    if (Path.substr(Start, 2) == "[]") {
+      Parts.emplace_back("[]");
+      Start += 2;
+    } else {
+      const std::size_t End =
+          std::min(Path.find_first_of(".[", Start), Path.size());
+      Parts.emplace_back(Path.substr(Start, End - Start));
+      Start = End;
+    }
+    if (Start < Path.size() && Path[Start] == '.')
+      ++Start;
+  }
+  return Parts;
+}
+
+std::string shown(const Json &Value) {
+  if (Value.is_object())
+    return "an object";
+  if (Value.is_array())
+    return "an array";
+  if (Value.is_string())
+    return quote(Value.get<std::string>());
+  return Value.dump();
+}
+
+std::string allowedOf(const SettingRule &Rule) {
+  switch (Rule.Type) {
+  case SettingType::Integer: {
+    std::string Text = "allowed are whole numbers from " +
+                       std::to_string(Rule.Minimum) + " to " +
+                       std::to_string(Rule.Maximum);
+    return Rule.Unit.empty() ? Text : Text + " " + std::string(Rule.Unit);
+  }
+  case SettingType::Name:
+    return "allowed are 1 to 64 letters, digits, '.', '_' and '-' that start "
+           "with a letter or a digit";
+  case SettingType::Address:
+    return "allowed is \"IP:port\" with a port from 1 to 65535, as in "
+           "\"127.0.0.1:8080\"";
+  case SettingType::Secret:
+    return "allowed are texts of " + std::to_string(Rule.Minimum) + " to " +
+           std::to_string(Rule.Maximum) + " bytes";
+  case SettingType::LogLevel: {
+    std::string Text = "allowed are";
+    for (const std::string_view Level : logLevels())
+      Text += " \"" + std::string(Level) + "\"";
+    return Text;
+  }
+  }
+  return "";
+}
+
+bool isInteger(const Json &Value, std::int64_t Minimum, std::int64_t Maximum) {
+  if (Value.is_number_unsigned())
+    return Value.get<std::uint64_t>() <= static_cast<std::uint64_t>(Maximum) &&
+           Value.get<std::uint64_t>() >= static_cast<std::uint64_t>(Minimum);
+  return Value.is_number_integer() && Value.get<std::int64_t>() >= Minimum &&
+         Value.get<std::int64_t>() <= Maximum;
+}
+
+bool isAllowed(const Json &Value, const SettingRule &Rule) {
+  if (Rule.Type == SettingType::Integer)
+    return isInteger(Value, Rule.Minimum, Rule.Maximum);
+  if (!Value.is_string())
+    return false;
+  const auto &Text = Value.get_ref<const std::string &>();
+  switch (Rule.Type) {
+  case SettingType::Integer:
+    return false;
+  case SettingType::Name:
+    return isName(Text);
+  case SettingType::Address:
+    return canonicalAddress(Text).has_value();
+  case SettingType::Secret:
+    return Text.size() >= static_cast<std::size_t>(Rule.Minimum) &&
+           Text.size() <= static_cast<std::size_t>(Rule.Maximum);
+  case SettingType::LogLevel:
+    return std::find(logLevels().begin(), logLevels().end(), Text) !=
+           logLevels().end();
+  }
+  return false;
+}
+
+/// What is wrong with the value. A secret's own text is never shown.
+std::string refusalOf(const Json &Value, const SettingRule &Rule) {
+  if (Rule.Type != SettingType::Secret)
+    return shown(Value) + " is not allowed; " + allowedOf(Rule);
+  if (!Value.is_string())
+    return "the value is not text; " + allowedOf(Rule);
+  return "the text has " +
+         std::to_string(Value.get_ref<const std::string &>().size()) +
+         " bytes; " + allowedOf(Rule);
+}
+
+} // namespace
+
+struct Schema::Walk {
+  Role Part;
+  const std::string &File;
+  SettingsErrors &Errors;
+
+  void addError(const std::string &Path, std::string Message) const {
+    Errors.push_back({File, Path, std::move(Message)});
+  }
+
+  void check(const Json &Value, const Node &Place,
+             const std::string &Path) const {
+    if (Part == Role::Overlay && !Place.isOverlay()) {
+      addError(Path, "an overlay may not change this; change it in the base "
+                     "file");
+      return;
+    }
+    if (Place.Rule) {
+      if (!isAllowed(Value, *Place.Rule))
+        addError(Path, refusalOf(Value, *Place.Rule));
+      return;
+    }
+    if (const Node *Element = Place.find("[]"))
+      checkArray(Value, *Element, Path);
+    else
+      checkObject(Value, Place, Path);
+  }
+
+  void checkArray(const Json &Value, const Node &Element,
+                  const std::string &Path) const {
+    if (!Value.is_array()) {
+      addError(Path, shown(Value) + " is not allowed; an array is expected");
+      return;
+    }
+    for (std::size_t Index = 0; Index < Value.size(); ++Index)
+      check(Value[Index], Element, pathOfIndex(Path, Index));
+  }
+
+  void checkObject(const Json &Value, const Node &Place,
+                   const std::string &Path) const {
+    if (!Value.is_object()) {
+      addError(Path, shown(Value) + " is not allowed; an object is expected");
+      return;
+    }
+    if (const Node *Any = Place.find("*")) {
+      for (const auto &[Key, Child] : Value.items()) {
+        if (!isName(Key))
+          addError(pathOfKey(Path, Key),
+                   "the name " + quote(Key) + " is not allowed; " +
+                       allowedOf({"", SettingType::Name, "", "", 0, 0, false}));
+        check(Child, *Any, pathOfKey(Path, Key));
+      }
+      return;
+    }
+    for (const auto &[Key, Child] : Value.items()) {
+      if (const Node *Known = Place.find(Key))
+        check(Child, *Known, pathOfKey(Path, Key));
+      else
+        addError(pathOfKey(Path, Key), "the name " + quote(Key) +
+                                           " is unknown; allowed are" +
+                                           namesIn(Place));
+    }
+    if (Part == Role::Overlay)
+      return;
+    for (const auto &[Key, Child] : Place.Children)
+      if (Child->isRequired() && !Value.contains(Key))
+        addError(pathOfKey(Path, Key),
+                 Child->Rule
+                     ? "the setting is missing; " + allowedOf(*Child->Rule)
+                     : "the setting is missing");
+  }
+
+  std::string namesIn(const Node &Place) const {
+    std::string Names;
+    for (const auto &[Key, Child] : Place.Children)
+      if (Part == Role::Whole || Child->isOverlay())
+        Names += " \"" + Key + "\"";
+    return Names;
+  }
+};
+
+Schema::Schema(const std::vector<SettingRule> &Rules)
+    : Root_(std::make_unique<Node>()) {
+  for (const SettingRule &Rule : Rules) {
+    Node *Place = Root_.get();
+    for (const std::string &Part : splitPath(Rule.Path))
+      Place = &Place->add(Part);
+    Place->Rule = &Rule;
+  }
+}
+
+Schema::~Schema() = default;
+
+void Schema::check(const Json &Value, Role Part, const std::string &File,
+                   SettingsErrors &Errors) const {
+  Walk{Part, File, Errors}.check(Value, *Root_, "");
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/settings/schema.h
@@ -0,0 +1,39 @@
+#ifndef NUTMEGLOOM_SETTINGS_SCHEMA_H
+#define NUTMEGLOOM_SETTINGS_SCHEMA_H
+
+#include "settings/jsontext.h"
+#include "settings/settingstable.h"
+
+#include <memory>
+
+namespace nutmegloom {
+
+/// Shape of a settings file, built from a table of settings.
+class Schema {
+public:
+  enum class Role {
+    /// All required settings must be there.
+    Whole,
+    /// Only what an overlay may change may be there.
+    Overlay,
+  };
+
+  explicit Schema(const std::vector<SettingRule> &Rules);
+  ~Schema();
+  Schema(const Schema &) = delete;
+  Schema &operator=(const Schema &) = delete;
+
+  /// Adds an error for each unknown name, wrong type, value out of bounds or
+  /// missing setting.
+  void check(const Json &Value, Role Part, const std::string &File,
+             SettingsErrors &Errors) const;
+
+private:
+  struct Node;
+  struct Walk;
+  std::unique_ptr<Node> Root_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_SETTINGS_SCHEMA_H
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -41,6 +41,9 @@
   /// A connection without a whole request for this long is closed.
   Milliseconds RequestReadTimeout{10000};
   std::string LogLevel = "info";
+  /// Callers' port of every host: with the IP of a host's peer address it
+  /// gives the address of the host's status.
+  std::uint16_t CallerPort = 8080;
 };
 
 /// Settings of one host: from a small file and the command line.
@@ -81,8 +84,17 @@
   std::vector<ConfigurationEdit> History;
 };
 
+/// Values from the command line, which replace those of the host's file.
+struct HostOverrides {
+  /// By the setting's name, as in "peer_address".
+  std::map<std::string, std::string> Values;
+  std::vector<std::string> Seeds;
+};
+
+/// Parses a host's file; "{}" when all values come from the command line.
 std::variant<HostSettings, SettingsErrors>
-parseHostSettings(const std::string &Text, const std::string &File);
+parseHostSettings(const std::string &Text, const std::string &File,
+                  const HostOverrides &Overrides = {});
 
 std::variant<ConfigurationHead, SettingsErrors>
 parseHead(const std::string &Text);
--- /dev/null
+++ b/packages/settings/textformats.cpp
@@ -0,0 +1,97 @@
+#include "settings/textformats.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <arpa/inet.h>
+
+namespace nutmegloom {
+
+namespace {
+
+constexpr std::size_t MaximumNameLength = 64;
+constexpr std::size_t MaximumQuotedLength = 80;
+
+bool isAlphanumeric(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9');
+}
+
+std::optional<unsigned> parsePort(std::string_view Text) {
+  unsigned Port = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Last, Error] = std::from_chars(Text.data(), End, Port);
+  if (Error != std::errc() || Last != End || Port == 0 || Port > 65535)
+    return std::nullopt;
+  return Port;
+}
+
+std::optional<std::string> canonicalIp(const std::string &Text, int Family) {
+  std::array<unsigned char, sizeof(in6_addr)> Bytes{};
+  std::array<char, INET6_ADDRSTRLEN> Canonical{};
+  if (inet_pton(Family, Text.c_str(), Bytes.data()) != 1)
+    return std::nullopt;
+  if (!inet_ntop(Family, Bytes.data(), Canonical.data(), Canonical.size()))
+    return std::nullopt;
+  return std::string(Canonical.data());
+}
+
+} // namespace
+
+bool isName(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaximumNameLength &&
+         isAlphanumeric(Text.front()) &&
+         std::all_of(Text.begin(), Text.end(), [](char C) {
+           return isAlphanumeric(C) || C == '.' || C == '_' || C == '-';
+         });
+}
+
+std::optional<std::string> canonicalAddress(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  // inet_pton stops at a zero byte, so text behind one would go unchecked.
+  if (Colon == std::string_view::npos ||
+      Text.find('\0') != std::string_view::npos)
+    return std::nullopt;
+  const auto Port = parsePort(Text.substr(Colon + 1));
+  if (!Port)
+    return std::nullopt;
+  std::string_view Ip = Text.substr(0, Colon);
+  if (Ip.size() >= 2 && Ip.front() == '[' && Ip.back() == ']') {
+    const auto Canonical =
+        canonicalIp(std::string(Ip.substr(1, Ip.size() - 2)), AF_INET6);
+    if (!Canonical)
+      return std::nullopt;
+    return "[" + *Canonical + "]:" + std::to_string(*Port);
+  }
+  const auto Canonical = canonicalIp(std::string(Ip), AF_INET);
+  if (!Canonical)
+    return std::nullopt;
+  return *Canonical + ":" + std::to_string(*Port);
+}
+
+std::string ipOf(std::string_view CanonicalAddress) {
+  return std::string(CanonicalAddress.substr(0, CanonicalAddress.rfind(':')));
+}
+
+bool isUtf8(const std::string &Text) {
+  try {
+    static_cast<void>(nlohmann::json(Text).dump());
+    return true;
+  } catch (const nlohmann::json::exception &) {
+    return false;
+  }
+}
+
+std::string quote(const std::string &Text) {
+  using Handler = nlohmann::json::error_handler_t;
+  if (Text.size() <= MaximumQuotedLength)
+    return nlohmann::json(Text).dump(-1, ' ', false, Handler::replace);
+  const std::string Start = nlohmann::json(Text.substr(0, MaximumQuotedLength))
+                                .dump(-1, ' ', false, Handler::replace);
+  return Start + "... (" + std::to_string(Text.size()) + " bytes)";
+}
+
+} // namespace nutmegloom
