Schedule by class, caller and learned service time

Cause: the first scheduler served first in, first out. Long statements could hold every slot, one caller could keep the others waiting, and work was queued that could not end in time.

Change: start-time fair queueing over classes by weight, turns for callers within a class, a queue of its own for long shapes with at most a third of the slots, refusal by expected wait, and a concurrency limit learned from the service times at each level of concurrency.

Ruled out: weights alone without a common virtual time. A class that had been idle then took all slots until it had caught up; sharesSlotsByWeight failed with 40 of 40 slots for one class before the virtual time of the last served queue became the starting point of a queue that fills again.

--- /dev/null
+++ b/packages/core/concurrencylimit.h
@@ -0,0 +1,39 @@
+#ifndef NUTMEGLOOM_CORE_CONCURRENCYLIMIT_H
+#define NUTMEGLOOM_CORE_CONCURRENCYLIMIT_H
+
+#include <cstdint>
+#include <vector>
+
+namespace nutmegloom {
+
+/// Finds how many statements a database gains from executing at once, from the
+/// service times measured at each concurrency. Another owner or another user
+/// of the database may hold some of its slots.
+class ConcurrencyLimit {
+public:
+  explicit ConcurrencyLimit(std::uint32_t Slots);
+
+  void setSlots(std::uint32_t Slots);
+
+  /// A statement started when Concurrency statements (itself included) ran.
+  /// Ratio is its service time divided by the learned mean of its shape.
+  void add(std::uint32_t Concurrency, double Ratio);
+
+  /// Statements to run at once; between 1 and the slots.
+  std::uint32_t limit() const { return Limit_; }
+
+private:
+  void update();
+
+  struct Level {
+    double Ratio = 1.0;
+    std::uint32_t Samples = 0;
+  };
+  std::vector<Level> Levels_;
+  std::uint32_t Limit_;
+  std::uint32_t SinceProbe_ = 0;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_CORE_CONCURRENCYLIMIT_H
--- a/packages/core/scheduler.cpp
+++ b/packages/core/scheduler.cpp
@@ -2,56 +2,226 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace nutmegloom {
 
-/// Weight of a new measurement in the learned service time.
-static constexpr double ServiceTimeGain = 0.2;
-static constexpr double InitialServiceMilliseconds = 5.0;
+/// Work of the first class waits for at most this many mean service times, so
+/// that its tail stays near its value at low load.
+static constexpr double FirstClassWaitFactor = 2.0;
+/// Work of other classes is admitted when it is expected to wait for at most
+/// this part of the time to its deadline; estimates are rough, and work that
+/// is refused late has cost its caller more.
+static constexpr double WaitPartOfDeadline = 0.5;
+/// Part of the queue that only the first class may fill.
+static constexpr double ReservedPart = 0.25;
+/// Part of the slots that long work may hold.
+static constexpr double LongPart = 0.34;
+
+/// Time between two passes over the queue for work that is too late.
+static constexpr Milliseconds SweepInterval{5};
 
 static double toMilliseconds(Duration Span) {
   return std::chrono::duration<double, std::milli>(Span).count();
 }
 
+static Milliseconds roundUp(double Value) {
+  return Milliseconds(std::llround(std::ceil(Value)));
+}
+
 Scheduler::Scheduler(std::uint32_t Slots, const Policy &Limits)
-    : Slots_(Slots), Limits_(Limits) {}
+    : Limits_(Limits), Concurrency_(Slots) {}
+
+void Scheduler::setSlots(std::uint32_t Slots) { Concurrency_.setSlots(Slots); }
+
+std::size_t Scheduler::classIndexOf(const std::string &Name) const {
+  const auto &Classes = Limits_.Classes;
+  const auto Found = std::find_if(
+      Classes.begin(), Classes.end(),
+      [&](const Policy::WorkClass &Entry) { return Entry.Name == Name; });
+  // Work without a known class goes to the last one, the least of all.
+  if (Found == Classes.end())
+    return Classes.empty() ? 0 : Classes.size() - 1;
+  return static_cast<std::size_t>(Found - Classes.begin());
+}
 
-void Scheduler::setSlots(std::uint32_t Slots) { Slots_ = Slots; }
+std::uint32_t Scheduler::weightOf(std::size_t ClassIndex) const {
+  if (ClassIndex >= Limits_.Classes.size())
+    return 1;
+  return std::max(Limits_.Classes[ClassIndex].Weight, 1U);
+}
+
+bool Scheduler::isFirstClass(std::size_t ClassIndex) const {
+  if (ClassIndex >= Limits_.Classes.size() || Limits_.Classes.size() < 2)
+    return false;
+  const auto AtLeastAsHeavy =
+      std::count_if(Limits_.Classes.begin(), Limits_.Classes.end(),
+                    [&](const Policy::WorkClass &Entry) {
+                      return Entry.Weight >= weightOf(ClassIndex);
+                    });
+  return AtLeastAsHeavy == 1;
+}
+
+std::uint32_t Scheduler::longLimit() const {
+  const std::uint32_t Limit = Concurrency_.limit();
+  if (Limit <= 2)
+    return 1;
+  return std::max(1U, static_cast<std::uint32_t>(Limit * LongPart));
+}
+
+std::uint32_t Scheduler::longRunning(TimePoint Now) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(Running_.begin(), Running_.end(), [&](const auto &Entry) {
+        return Entry.second.Long ||
+               Times_.isLongAge(toMilliseconds(Now - Entry.second.StartedAt));
+      }));
+}
+
+double Scheduler::waitMilliseconds(const ScheduledWork &Work,
+                                   TimePoint Now) const {
+  const std::uint32_t Limit = Concurrency_.limit();
+  const std::uint32_t LongNow = longRunning(Now);
+  if (Times_.isLong(Work.Shape)) {
+    if (Long_.empty() && LongNow < longLimit() && Running_.size() < Limit)
+      return 0;
+    return static_cast<double>(Long_.size() + 1) * Times_.meanOf(Work.Shape) /
+           longLimit();
+  }
+
+  const std::size_t Index = classIndexOf(Work.WorkClass);
+  const bool Known = Index < Short_.size();
+  const std::size_t Waiting = Known ? Short_[Index].size() : 0;
+  if (Waiting == 0 && Running_.size() < Limit)
+    return 0;
+  // A caller's turn comes once for each turn of the other callers.
+  const std::size_t Callers = Known ? Short_[Index].callers() + 1 : 1;
+  const std::size_t Own = Known ? Short_[Index].sizeOf(Work.Caller) : 0;
+  const std::size_t Ahead = std::min(Waiting, Callers * (Own + 1));
+
+  double Weights = weightOf(Index);
+  for (std::size_t Other = 0; Other < Short_.size(); ++Other) {
+    if (Other != Index && !Short_[Other].empty())
+      Weights += weightOf(Other);
+  }
+  const double Slots = std::max(1U, Limit - std::min(LongNow, Limit - 1));
+  const double Share = Slots * weightOf(Index) / Weights;
+  return Times_.shortMean() *
+         (1.0 / Slots + static_cast<double>(Ahead) / Share);
+}
+
+Milliseconds Scheduler::expectedWait(const ScheduledWork &Work,
+                                     TimePoint Now) const {
+  return roundUp(waitMilliseconds(Work, Now));
+}
+
+Milliseconds Scheduler::expectedWait(std::uint64_t Shape, TimePoint Now) const {
+  ScheduledWork Work;
+  Work.Shape = Shape;
+  return expectedWait(Work, Now);
+}
+
+Milliseconds Scheduler::serviceTimeOf(std::uint64_t Shape) const {
+  return roundUp(Times_.meanOf(Shape));
+}
 
 std::optional<AdmissionRefusal> Scheduler::submit(const ScheduledWork &Work,
                                                   TimePoint Now) {
-  const Milliseconds Wait = expectedWait(Work.Shape, Now);
-  if (Queue_.size() >= Limits_.WaitingRequests || Now + Wait > Work.Deadline)
-    return AdmissionRefusal{std::max(Wait, Milliseconds(1))};
-  Queue_.push_back(Work);
+  const std::size_t Index = classIndexOf(Work.WorkClass);
+  const bool First = isFirstClass(Index);
+  const double Wait = waitMilliseconds(Work, Now);
+  const double Left = toMilliseconds(Work.Deadline - Now);
+  double Bound = Left * WaitPartOfDeadline;
+  if (First && !Times_.isLong(Work.Shape))
+    Bound = std::min(Bound, Times_.shortMean() * FirstClassWaitFactor);
+  const double Room =
+      Limits_.WaitingRequests * (First ? 1.0 : 1.0 - ReservedPart);
+  const bool Full = static_cast<double>(waiting()) >= Room;
+  const bool TooLate = Wait + Times_.meanOf(Work.Shape) > Left;
+  if (Full || TooLate || Wait > Bound)
+    return AdmissionRefusal{std::max(roundUp(Wait), Milliseconds(1))};
+
+  WorkQueue *Queue = &Long_;
+  if (!Times_.isLong(Work.Shape)) {
+    if (Short_.size() <= Index)
+      Short_.resize(std::max(Limits_.Classes.size(), Index + 1));
+    Queue = &Short_[Index];
+  }
+  // A queue that was idle must not catch up on service it did not need.
+  if (Queue->empty())
+    Queue->VirtualTime = std::max(Queue->VirtualTime, VirtualNow_);
+  Queue->push(Work);
   return std::nullopt;
 }
 
+bool Scheduler::isTooLate(const ScheduledWork &Work, TimePoint Now) const {
+  return toMilliseconds(Work.Deadline - Now) <= Times_.meanOf(Work.Shape);
+}
+
+TaskId Scheduler::start(const ScheduledWork &Work, bool Long, TimePoint Now) {
+  Running Entry;
+  Entry.Shape = Work.Shape;
+  Entry.StartedAt = Now;
+  Entry.Concurrency = static_cast<std::uint32_t>(Running_.size() + 1);
+  Entry.Long = Long;
+  Running_[Work.Task] = Entry;
+  return Work.Task;
+}
+
+WorkQueue *Scheduler::nextQueue(TimePoint Now) {
+  WorkQueue *Best = nullptr;
+  for (WorkQueue &Queue : Short_) {
+    if (!Queue.empty() && (!Best || Queue.VirtualTime < Best->VirtualTime))
+      Best = &Queue;
+  }
+  const bool LongMayStart = !Long_.empty() && longRunning(Now) < longLimit();
+  if (LongMayStart && (!Best || Long_.VirtualTime < Best->VirtualTime))
+    return &Long_;
+  return Best;
+}
+
 std::optional<TaskId> Scheduler::next(TimePoint Now) {
-  if (Running_.size() >= Slots_ || Queue_.empty())
-    return std::nullopt;
-  ScheduledWork Work = Queue_.front();
-  Queue_.pop_front();
-  const TaskId Task = Work.Task;
-  Running_[Task] = Running{std::move(Work), Now};
-  return Task;
+  while (Running_.size() < Concurrency_.limit()) {
+    WorkQueue *Queue = nextQueue(Now);
+    if (!Queue)
+      return std::nullopt;
+    const bool Long = Queue == &Long_;
+    const ScheduledWork Work = Queue->pop();
+    if (isTooLate(Work, Now)) {
+      Expired_.push_back(Work.Task);
+      continue;
+    }
+    const std::uint32_t Weight =
+        Long ? 1 : weightOf(classIndexOf(Work.WorkClass));
+    VirtualNow_ = Queue->VirtualTime;
+    Queue->VirtualTime += Times_.meanOf(Work.Shape) / Weight;
+    return start(Work, Long, Now);
+  }
+  return std::nullopt;
 }
 
 std::vector<TaskId> Scheduler::takeExpired(TimePoint Now) {
-  std::vector<TaskId> Expired;
-  std::erase_if(Queue_, [&](const ScheduledWork &Work) {
-    if (Work.Deadline > Now)
-      return false;
-    Expired.push_back(Work.Task);
-    return true;
-  });
+  std::vector<TaskId> Expired = std::exchange(Expired_, {});
+  // A full pass for each input would cost more than the work itself when the
+  // queue is long.
+  if (LastSweep_ && Now - *LastSweep_ < SweepInterval)
+    return Expired;
+  LastSweep_ = Now;
+  const auto TooLate = [&](const ScheduledWork &Work) {
+    return isTooLate(Work, Now);
+  };
+  const auto Sweep = [&](WorkQueue &Queue) {
+    const std::vector<TaskId> More = Queue.removeIf(TooLate);
+    Expired.insert(Expired.end(), More.begin(), More.end());
+  };
+  Sweep(Long_);
+  std::for_each(Short_.begin(), Short_.end(), Sweep);
   return Expired;
 }
 
 bool Scheduler::remove(TaskId Task) {
-  return std::erase_if(Queue_, [Task](const ScheduledWork &Work) {
-           return Work.Task == Task;
-         }) > 0;
+  return Long_.remove(Task) ||
+         std::any_of(Short_.begin(), Short_.end(),
+                     [Task](WorkQueue &Queue) { return Queue.remove(Task); });
 }
 
 void Scheduler::finish(TaskId Task, bool Executed, TimePoint Now) {
@@ -59,32 +229,21 @@
   if (Found == Running_.end())
     return;
   if (Executed) {
-    const double Sample = toMilliseconds(Now - Found->second.StartedAt);
-    const auto [Entry, Inserted] =
-        ServiceMilliseconds_.try_emplace(Found->second.Work.Shape, Sample);
-    if (!Inserted)
-      Entry->second += ServiceTimeGain * (Sample - Entry->second);
+    const Running &Entry = Found->second;
+    const double Sample = toMilliseconds(Now - Entry.StartedAt);
+    const double Mean = Times_.meanOf(Entry.Shape);
+    if (Mean > 0)
+      Concurrency_.add(Entry.Concurrency, Sample / Mean);
+    Times_.add(Entry.Shape, Sample);
   }
   Running_.erase(Found);
 }
 
-Milliseconds Scheduler::expectedWait(std::uint64_t Shape, TimePoint) const {
-  if (Running_.size() < Slots_ && Queue_.empty())
-    return Milliseconds(0);
-  const double Ahead = static_cast<double>(Queue_.size() + 1);
-  const double Service = static_cast<double>(serviceTimeOf(Shape).count());
-  return Milliseconds(std::llround(std::ceil(Ahead * Service / Slots_)));
+std::size_t Scheduler::waiting() const {
+  std::size_t Count = Long_.size();
+  for (const WorkQueue &Queue : Short_)
+    Count += Queue.size();
+  return Count;
 }
 
-Milliseconds Scheduler::serviceTimeOf(std::uint64_t Shape) const {
-  const auto Found = ServiceMilliseconds_.find(Shape);
-  const double Service = Found == ServiceMilliseconds_.end()
-                             ? InitialServiceMilliseconds
-                             : Found->second;
-  return Milliseconds(std::llround(std::ceil(Service)));
-}
-
-std::size_t Scheduler::waiting() const { return Queue_.size(); }
-std::size_t Scheduler::running() const { return Running_.size(); }
-
 } // namespace nutmegloom
--- a/packages/core/scheduler.h
+++ b/packages/core/scheduler.h
@@ -1,29 +1,24 @@
 #ifndef NUTMEGLOOM_CORE_SCHEDULER_H
 #define NUTMEGLOOM_CORE_SCHEDULER_H
 
+#include "core/concurrencylimit.h"
+#include "core/servicetimes.h"
 #include "core/tables.h"
+#include "core/workqueue.h"
 
-#include <deque>
 #include <map>
 
 namespace nutmegloom {
 
-/// Work that waits for a slot of a database.
-struct ScheduledWork {
-  TaskId Task = 0;
-  std::string WorkClass;
-  std::string Caller;
-  std::uint64_t Shape = 0;
-  TimePoint Deadline;
-};
-
 /// Why work was not admitted.
 struct AdmissionRefusal {
   /// When a later try may be admitted.
   Milliseconds RetryAfter{0};
 };
 
-/// Admission, queue and slots of one database.
+/// Admission, queues and slots of one database. Short work never waits behind
+/// long work for the last slot, classes share by weight, callers share evenly
+/// within a class, and work that can't be served in time is refused at once.
 class Scheduler {
 public:
   Scheduler(std::uint32_t Slots, const Policy &Limits);
@@ -38,7 +33,8 @@
   /// finish is called.
   std::optional<TaskId> next(TimePoint Now);
 
-  /// Removes work from the queue whose deadline has passed and returns it.
+  /// Removes work from the queue that can't end before its deadline any more
+  /// and returns it.
   std::vector<TaskId> takeExpired(TimePoint Now);
 
   /// Removes waiting work, for example when its caller has gone.
@@ -48,25 +44,47 @@
   /// a measure of the database's service time.
   void finish(TaskId Task, bool Executed, TimePoint Now);
 
-  /// Time that new work of this shape is expected to wait.
+  /// Time that new work is expected to wait.
+  Milliseconds expectedWait(const ScheduledWork &Work, TimePoint Now) const;
+  /// The same for work of a shape in the default class of a new caller.
   Milliseconds expectedWait(std::uint64_t Shape, TimePoint Now) const;
 
-  /// Learnt service time of a shape.
+  /// Learned service time of a shape.
   Milliseconds serviceTimeOf(std::uint64_t Shape) const;
 
   std::size_t waiting() const;
-  std::size_t running() const;
+  std::size_t running() const { return Running_.size(); }
 
 private:
   struct Running {
-    ScheduledWork Work;
+    std::uint64_t Shape = 0;
     TimePoint StartedAt;
+    std::uint32_t Concurrency = 0;
+    bool Long = false;
   };
-  std::uint32_t Slots_;
+
+  std::size_t classIndexOf(const std::string &Name) const;
+  std::uint32_t weightOf(std::size_t ClassIndex) const;
+  bool isFirstClass(std::size_t ClassIndex) const;
+  std::uint32_t longLimit() const;
+  std::uint32_t longRunning(TimePoint Now) const;
+  double waitMilliseconds(const ScheduledWork &Work, TimePoint Now) const;
+  bool isTooLate(const ScheduledWork &Work, TimePoint Now) const;
+  WorkQueue *nextQueue(TimePoint Now);
+  TaskId start(const ScheduledWork &Work, bool Long, TimePoint Now);
+
   const Policy &Limits_;
-  std::deque<ScheduledWork> Queue_;
+  ConcurrencyLimit Concurrency_;
+  ServiceTimes Times_;
+  /// One queue for each class, and one for long work of all classes.
+  std::vector<WorkQueue> Short_;
+  WorkQueue Long_;
+  /// Virtual time of the queue that was served last.
+  double VirtualNow_ = 0;
+  /// Work that was found too late when its turn came.
+  std::vector<TaskId> Expired_;
+  std::optional<TimePoint> LastSweep_;
   std::map<TaskId, Running> Running_;
-  std::map<std::uint64_t, double> ServiceMilliseconds_;
 };
 
 } // namespace nutmegloom
--- /dev/null
+++ b/packages/core/servicetimes.cpp
@@ -0,0 +1,49 @@
+#include "core/servicetimes.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+/// Weight of a new sample in a learned mean.
+static constexpr double Gain = 0.1;
+/// A statement is long from this multiple of the mean of short ones on.
+static constexpr double LongFactor = 8.0;
+/// Shapes that are remembered. Callers choose the statements, so the table
+/// needs a bound.
+static constexpr std::size_t MaximumShapes = 4096;
+
+void ServiceTimes::add(std::uint64_t Shape, double Sample) {
+  const auto Found = Means_.find(Shape);
+  if (Found != Means_.end())
+    Found->second += Gain * (Sample - Found->second);
+  else if (Means_.size() < MaximumShapes)
+    Means_.emplace(Shape, Sample);
+
+  if (!HasShortMean_) {
+    HasShortMean_ = true;
+    ShortMean_ = Sample;
+    return;
+  }
+  // The first sample may be of a long statement, so the mean falls to any
+  // lower sample at once and long ones are left out.
+  if (Sample * LongFactor < ShortMean_)
+    ShortMean_ = Sample;
+  else if (Sample < ShortMean_ * LongFactor)
+    ShortMean_ += Gain * (Sample - ShortMean_);
+}
+
+double ServiceTimes::meanOf(std::uint64_t Shape) const {
+  const auto Found = Means_.find(Shape);
+  return Found == Means_.end() ? ShortMean_ : Found->second;
+}
+
+bool ServiceTimes::isLong(std::uint64_t Shape) const {
+  const auto Found = Means_.find(Shape);
+  return Found != Means_.end() && Found->second >= ShortMean_ * LongFactor;
+}
+
+bool ServiceTimes::isLongAge(double AgeMilliseconds) const {
+  return AgeMilliseconds >= ShortMean_ * LongFactor;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/core/schedulertest.cpp
@@ -0,0 +1,182 @@
+#include "core/scheduler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace nutmegloom {
+
+class SchedulerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SchedulerTest);
+  CPPUNIT_TEST(neverRunsMoreThanTheSlots);
+  CPPUNIT_TEST(refusesWorkThatCannotEndInTime);
+  CPPUNIT_TEST(returnsWaitingWorkThatBecameTooLate);
+  CPPUNIT_TEST(keepsASlotFreeOfLongWork);
+  CPPUNIT_TEST(doesNotStarveLongWork);
+  CPPUNIT_TEST(sharesSlotsByWeight);
+  CPPUNIT_TEST(servesCallersInTurns);
+  CPPUNIT_TEST(boundsTheQueue);
+  CPPUNIT_TEST(learnsThatSlotsAreTaken);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint64_t ShortShape = 1;
+  static constexpr std::uint64_t LongShape = 2;
+
+  Policy Limits_;
+  TimePoint Now_{std::chrono::hours(1)};
+  TaskId NextTask_ = 1;
+
+  ScheduledWork work(std::uint64_t Shape, const std::string &Class = "",
+                     const std::string &Caller = "caller") {
+    return {NextTask_++, Class, Caller, Shape, Now_ + Milliseconds(10000)};
+  }
+
+  void runOnce(Scheduler &Queue, std::uint64_t Shape, Milliseconds Time) {
+    CPPUNIT_ASSERT(!Queue.submit(work(Shape), Now_));
+    const std::optional<TaskId> Task = Queue.next(Now_);
+    CPPUNIT_ASSERT(Task);
+    Now_ += Time;
+    Queue.finish(*Task, true, Now_);
+  }
+
+  Scheduler trained(std::uint32_t Slots) {
+    Scheduler Queue(Slots, Limits_);
+    for (int Count = 0; Count < 20; ++Count)
+      runOnce(Queue, ShortShape, Milliseconds(10));
+    runOnce(Queue, LongShape, Milliseconds(500));
+    return Queue;
+  }
+
+  // Guards against overload of a database by its owner.
+  void neverRunsMoreThanTheSlots() {
+    Scheduler Queue(3, Limits_);
+    for (int Count = 0; Count < 5; ++Count)
+      CPPUNIT_ASSERT(!Queue.submit(work(ShortShape), Now_));
+    int Started = 0;
+    while (Queue.next(Now_))
+      ++Started;
+    CPPUNIT_ASSERT_EQUAL(3, Started);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Queue.waiting());
+  }
+
+  // Guards against work that takes a slot although its caller has given up.
+  void refusesWorkThatCannotEndInTime() {
+    Scheduler Queue = trained(1);
+    ScheduledWork Work = work(ShortShape);
+    Work.Deadline = Now_ + Milliseconds(5);
+    const auto Refusal = Queue.submit(Work, Now_);
+    CPPUNIT_ASSERT(Refusal);
+    CPPUNIT_ASSERT(Refusal->RetryAfter > Milliseconds(0));
+  }
+
+  void returnsWaitingWorkThatBecameTooLate() {
+    Scheduler Queue = trained(1);
+    CPPUNIT_ASSERT(!Queue.submit(work(ShortShape), Now_));
+    CPPUNIT_ASSERT(Queue.next(Now_));
+    ScheduledWork Work = work(ShortShape);
+    Work.Deadline = Now_ + Milliseconds(100);
+    CPPUNIT_ASSERT(!Queue.submit(Work, Now_));
+    Now_ += Milliseconds(95);
+    CPPUNIT_ASSERT(!Queue.next(Now_));
+    CPPUNIT_ASSERT(Queue.takeExpired(Now_) == std::vector<TaskId>{Work.Task});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Queue.waiting());
+  }
+
+  // Guards against head-of-line blocking of short work by long work.
+  void keepsASlotFreeOfLongWork() {
+    Scheduler Queue = trained(2);
+    CPPUNIT_ASSERT(!Queue.submit(work(LongShape), Now_));
+    CPPUNIT_ASSERT(!Queue.submit(work(LongShape), Now_));
+    CPPUNIT_ASSERT(Queue.next(Now_));
+    CPPUNIT_ASSERT(!Queue.next(Now_));
+    const ScheduledWork Short = work(ShortShape);
+    CPPUNIT_ASSERT(!Queue.submit(Short, Now_));
+    CPPUNIT_ASSERT(Queue.next(Now_) == Short.Task);
+  }
+
+  void doesNotStarveLongWork() {
+    Scheduler Queue = trained(1);
+    const ScheduledWork Long = work(LongShape);
+    CPPUNIT_ASSERT(!Queue.submit(Long, Now_));
+    for (int Count = 0; Count < 200; ++Count) {
+      (void)Queue.submit(work(ShortShape), Now_);
+      const std::optional<TaskId> Task = Queue.next(Now_);
+      CPPUNIT_ASSERT(Task);
+      if (*Task == Long.Task)
+        return;
+      Now_ += Milliseconds(10);
+      Queue.finish(*Task, true, Now_);
+    }
+    CPPUNIT_FAIL("long work never started");
+  }
+
+  void sharesSlotsByWeight() {
+    Limits_.Classes = {{"panels", 9}, {"bookings", 3}, {"clerks", 1}};
+    Scheduler Queue = trained(1);
+    std::set<TaskId> Bookings;
+    for (int Count = 0; Count < 80; ++Count) {
+      const std::string Class = Count % 2 == 0 ? "bookings" : "clerks";
+      const ScheduledWork Work = work(ShortShape, Class);
+      CPPUNIT_ASSERT(!Queue.submit(Work, Now_));
+      if (Count % 2 == 0)
+        Bookings.insert(Work.Task);
+    }
+    int BookingsServed = 0;
+    for (int Count = 0; Count < 40; ++Count) {
+      const std::optional<TaskId> Task = Queue.next(Now_);
+      CPPUNIT_ASSERT(Task);
+      BookingsServed += Bookings.count(*Task) ? 1 : 0;
+      Now_ += Milliseconds(10);
+      Queue.finish(*Task, true, Now_);
+    }
+    // Three to one, up to the one item that fair queueing may be off.
+    CPPUNIT_ASSERT(BookingsServed >= 29 && BookingsServed <= 31);
+  }
+
+  // Guards against one caller that keeps the others waiting.
+  void servesCallersInTurns() {
+    Scheduler Queue = trained(1);
+    for (int Count = 0; Count < 10; ++Count)
+      CPPUNIT_ASSERT(!Queue.submit(work(ShortShape, "", "busy"), Now_));
+    const ScheduledWork Other = work(ShortShape, "", "other");
+    CPPUNIT_ASSERT(!Queue.submit(Other, Now_));
+    const std::optional<TaskId> First = Queue.next(Now_);
+    CPPUNIT_ASSERT(First);
+    Queue.finish(*First, true, Now_ + Milliseconds(10));
+    CPPUNIT_ASSERT(Queue.next(Now_) == Other.Task);
+  }
+
+  void boundsTheQueue() {
+    Limits_.WaitingRequests = 8;
+    Limits_.Classes = {{"panels", 3}, {"clerks", 1}};
+    Scheduler Queue(1, Limits_);
+    int Admitted = 0;
+    for (int Count = 0; Count < 100; ++Count)
+      Admitted += Queue.submit(work(ShortShape, "clerks"), Now_) ? 0 : 1;
+    CPPUNIT_ASSERT_EQUAL(6, Admitted);
+    // A quarter of the queue is left for the first class.
+    CPPUNIT_ASSERT(!Queue.submit(work(ShortShape, "panels"), Now_));
+  }
+
+  // Guards against a queue inside the database when another owner uses half
+  // of its slots: service times grow once more than two run.
+  void learnsThatSlotsAreTaken() {
+    ConcurrencyLimit Limit(4);
+    for (int Round = 0; Round < 200; ++Round) {
+      const std::uint32_t Running = Limit.limit();
+      for (std::uint32_t Level = 1; Level <= Running; ++Level)
+        Limit.add(Level, Level <= 2 ? 1.0 : Level / 2.0);
+    }
+    CPPUNIT_ASSERT(Limit.limit() <= 3);
+    for (int Round = 0; Round < 2000; ++Round) {
+      const std::uint32_t Running = Limit.limit();
+      for (std::uint32_t Level = 1; Level <= Running; ++Level)
+        Limit.add(Level, 1.0);
+    }
+    CPPUNIT_ASSERT_EQUAL(4U, Limit.limit());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerTest);
+
+} // namespace nutmegloom
