--- /dev/null
+++ b/packages/protocol/databaseconnection.cpp
@@ -0,0 +1,220 @@
+#include "protocol/databaseconnection.h"
+
+#include "protocol/databasecodec.h"
+#include "protocol/httpconnection.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+
+namespace nutmegloom {
+
+namespace asio = boost::asio;
+
+/// Greatest size of a database's answer.
+static constexpr std::size_t MaximumAnswerBytes = 8 * 1024 * 1024;
+static constexpr std::size_t MaximumStatusBytes = 1024 * 1024;
+
+static DatabaseFailureKind kindOf(HttpFailureKind Kind) {
+  switch (Kind) {
+  case HttpFailureKind::BadAddress:
+  case HttpFailureKind::NotConnected:
+    return DatabaseFailureKind::NotConnected;
+  case HttpFailureKind::Broken:
+  case HttpFailureKind::TimedOut:
+    return DatabaseFailureKind::Broken;
+  case HttpFailureKind::Malformed:
+    return DatabaseFailureKind::Malformed;
+  }
+  return DatabaseFailureKind::Broken;
+}
+
+namespace {
+
+class HttpDatabaseConnection : public DatabaseConnection {
+public:
+  HttpDatabaseConnection(asio::io_context &Io, std::string Address)
+      : Http_(HttpConnection::create(Io, std::move(Address),
+                                     MaximumAnswerBytes)) {}
+
+  void open(Milliseconds Timeout, OpenHandler Handler) override {
+    Http_->connect(Timeout,
+                   [Handler = std::move(Handler)](const HttpFailure *Failure) {
+                     Handler(Failure == nullptr);
+                   });
+  }
+
+  void send(const DatabaseRequest &Request, Milliseconds Timeout,
+            AnswerHandler Handler) override;
+
+  void watchForClose(std::function<void()> Handler) override {
+    Http_->watchForClose(std::move(Handler));
+  }
+
+  void close() override { Http_->close(); }
+
+private:
+  std::shared_ptr<HttpConnection> Http_;
+};
+
+class HttpDatabaseControl
+    : public DatabaseControl,
+      public std::enable_shared_from_this<HttpDatabaseControl> {
+public:
+  explicit HttpDatabaseControl(asio::io_context &Io) : Io_(Io) {}
+
+  void pollStatus(const std::string &ControlAddress, std::uint64_t After,
+                  Milliseconds Wait, Milliseconds Timeout,
+                  StatusHandler Handler) override;
+  void sendCommand(const std::string &ControlAddress,
+                   const ControlRequest &Request, Milliseconds Timeout,
+                   CommandHandler Handler) override;
+
+private:
+  struct Poll {
+    std::string Address;
+    HttpRequest Request;
+    TimePoint Deadline;
+    StatusHandler Handler;
+  };
+
+  void startOnNewConnection(const std::shared_ptr<Poll> &Work);
+  void startOn(const std::shared_ptr<HttpConnection> &Http,
+               const std::shared_ptr<Poll> &Work, bool Reused);
+
+  asio::io_context &Io_;
+  /// Idle status connections by control address.
+  std::map<std::string, std::shared_ptr<HttpConnection>> Idle_;
+};
+
+} // namespace
+
+void HttpDatabaseConnection::send(const DatabaseRequest &Request,
+                                  Milliseconds Timeout, AnswerHandler Handler) {
+  Http_->exchange(
+      encodeDatabaseRequest(Request), Timeout,
+      [Http = Http_, Request, Handler = std::move(Handler)](
+          std::variant<HttpResponse, HttpFailure> Result) {
+        if (const auto *Failure = std::get_if<HttpFailure>(&Result)) {
+          Handler(DatabaseFailure{Request.Exchange, kindOf(Failure->Kind),
+                                  Failure->Detail, 0});
+          return;
+        }
+        auto Answer =
+            decodeDatabaseAnswer(Request, std::get<HttpResponse>(Result));
+        const auto *Refusal = std::get_if<DatabaseFailure>(&Answer);
+        if (Refusal && Refusal->Kind == DatabaseFailureKind::Malformed)
+          Http->close();
+        Handler(std::move(Answer));
+      });
+}
+
+static Milliseconds timeLeft(TimePoint Deadline) {
+  return std::chrono::duration_cast<Milliseconds>(
+      Deadline - std::chrono::steady_clock::now());
+}
+
+void HttpDatabaseControl::pollStatus(const std::string &ControlAddress,
+                                     std::uint64_t After, Milliseconds Wait,
+                                     Milliseconds Timeout,
+                                     StatusHandler Handler) {
+  const auto Work = std::make_shared<Poll>(
+      Poll{ControlAddress, encodeStatusRequest(After, Wait),
+           std::chrono::steady_clock::now() + Timeout, std::move(Handler)});
+  const auto Found = Idle_.find(ControlAddress);
+  if (Found == Idle_.end()) {
+    startOnNewConnection(Work);
+    return;
+  }
+  const std::shared_ptr<HttpConnection> Http = Found->second;
+  Idle_.erase(Found);
+  startOn(Http, Work, true);
+}
+
+void HttpDatabaseControl::startOnNewConnection(
+    const std::shared_ptr<Poll> &Work) {
+  const auto Http =
+      HttpConnection::create(Io_, Work->Address, MaximumStatusBytes);
+  Http->connect(timeLeft(Work->Deadline), [Self = shared_from_this(), Http,
+                                           Work](const HttpFailure *Failure) {
+    if (Failure) {
+      Work->Handler(Failed{Failure->Detail});
+      return;
+    }
+    Self->startOn(Http, Work, false);
+  });
+}
+
+void HttpDatabaseControl::startOn(const std::shared_ptr<HttpConnection> &Http,
+                                  const std::shared_ptr<Poll> &Work,
+                                  bool Reused) {
+  Http->exchange(Work->Request, timeLeft(Work->Deadline),
+                 [Self = shared_from_this(), Http, Work,
+                  Reused](std::variant<HttpResponse, HttpFailure> Result) {
+                   if (const auto *Failure =
+                           std::get_if<HttpFailure>(&Result)) {
+                     // The peer may have closed a kept connection, for example
+                     // because it was restarted. A status has no effect, so it
+                     // is asked again.
+                     if (Reused && Failure->Kind != HttpFailureKind::TimedOut) {
+                       Self->startOnNewConnection(Work);
+                       return;
+                     }
+                     Work->Handler(Failed{Failure->Detail});
+                     return;
+                   }
+                   const auto &Response = std::get<HttpResponse>(Result);
+                   std::optional<DatabaseStatus> Status;
+                   if (Response.Status == 200)
+                     Status = decodeStatus(Response.Body);
+                   if (!Status) {
+                     Http->close();
+                     Work->Handler(Failed{"status response could not be read"});
+                     return;
+                   }
+                   if (Http->isOpen())
+                     Self->Idle_[Work->Address] = Http;
+                   Work->Handler(std::move(*Status));
+                 });
+}
+
+void HttpDatabaseControl::sendCommand(const std::string &ControlAddress,
+                                      const ControlRequest &Request,
+                                      Milliseconds Timeout,
+                                      CommandHandler Handler) {
+  exchangeOnce(Io_, ControlAddress, encodeControlRequest(Request), Timeout,
+               MaximumStatusBytes,
+               [Handler = std::move(Handler)](
+                   std::variant<HttpResponse, HttpFailure> Result) {
+                 if (const auto *Failure = std::get_if<HttpFailure>(&Result)) {
+                   Handler(Failed{Failure->Detail});
+                   return;
+                 }
+                 const auto &Response = std::get<HttpResponse>(Result);
+                 if (Response.Status == 200) {
+                   if (const auto Status = decodeStatus(Response.Body)) {
+                     Handler(*Status);
+                     return;
+                   }
+                 }
+                 if (Response.Status == 409) {
+                   if (const auto Term = decodeRefusedTerm(Response.Body)) {
+                     Handler(Refused{*Term});
+                     return;
+                   }
+                 }
+                 Handler(Failed{"unexpected response with status " +
+                                std::to_string(Response.Status)});
+               });
+}
+
+std::shared_ptr<DatabaseConnection>
+makeHttpDatabaseConnection(asio::io_context &Io, std::string Address) {
+  return std::make_shared<HttpDatabaseConnection>(Io, std::move(Address));
+}
+
+std::shared_ptr<DatabaseControl> makeHttpDatabaseControl(asio::io_context &Io) {
+  return std::make_shared<HttpDatabaseControl>(Io);
+}
+
+} // namespace nutmegloom
