--- a/packages/protocol/databaseconnection.cpp
+++ b/packages/protocol/databaseconnection.cpp
@@ -12,8 +12,8 @@
 namespace asio = boost::asio;
 
 /// Greatest size of a database's answer.
-static constexpr std::size_t MaximumAnswerBytes = 8 * 1024 * 1024;
-static constexpr std::size_t MaximumStatusBytes = 1024 * 1024;
+static constexpr std::size_t MaximumAnswerBytes = 8UL * 1024 * 1024;
+static constexpr std::size_t MaximumStatusBytes = 1024UL * 1024;
 
 static DatabaseFailureKind kindOf(HttpFailureKind Kind) {
   switch (Kind) {
--- a/packages/protocol/httpconnection.cpp
+++ b/packages/protocol/httpconnection.cpp
@@ -164,7 +164,7 @@
         }
         auto &Message = Self->Parser_->get();
         HttpResponse Response;
-        Response.Status = Message.result_int();
+        Response.Status = static_cast<int>(Message.result_int());
         for (const auto &Field : Message)
           Response.Headers.emplace_back(Field.name_string(), Field.value());
         Response.Body = std::move(Message.body());
--- /dev/null
+++ b/packages/protocol/httpserver.cpp
@@ -0,0 +1,503 @@
+#include "protocol/httpserver.h"
+
+#include "protocol/problemdetails.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <optional>
+#include <unordered_map>
+
+namespace nutmegloom {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t HeaderChunkBytes = 4096;
+constexpr std::size_t BodyChunkBytes = 65536;
+/// Bytes that a caller may send after an error response before its connection
+/// is closed with a reset, which can destroy a response that isn't read yet.
+constexpr std::size_t DiscardBytes = 4194304;
+constexpr Milliseconds DiscardTimeout{2000};
+/// Connections above the limit that may wait for their refusal at a time.
+constexpr std::size_t RefusalsInProgress = 64;
+/// Deadlines are checked by one timer, so that a request arms no timer.
+constexpr Milliseconds SweepInterval{100};
+/// Pause after a failed accept, for example without free descriptors.
+constexpr Milliseconds AcceptPause{100};
+
+class Server;
+
+class Session final : public HttpServerRequest,
+                      public std::enable_shared_from_this<Session> {
+public:
+  Session(std::shared_ptr<Server> Owner, Tcp::socket Socket);
+  ~Session();
+  Session(const Session &) = delete;
+  Session &operator=(const Session &) = delete;
+
+  void start();
+  /// Refuses the connection without reading a request.
+  void refuse();
+  void checkDeadline(TimePoint Now);
+  /// Closes an idle connection; others close after their response.
+  void stop();
+
+  std::string_view header(std::string_view Name) const override;
+
+private:
+  enum class Phase { Reading, Running, Writing, Discarding, Closed };
+  using Parser = http::request_parser<http::string_body>;
+
+  void resetParser();
+  void read();
+  void onRead(error_code Error, std::size_t Size);
+  void processInput();
+  void onParseError(error_code Error);
+  void run();
+  void respond(std::uint64_t Request, HttpResponse Response);
+  void refuseRequest(const Problem &Error);
+  void write(HttpResponse Response, bool KeepAlive);
+  void onWritten(error_code Error);
+  void discardInput();
+  void close();
+
+  std::shared_ptr<Server> Owner_;
+  Tcp::socket Socket_;
+  std::string Address_;
+  Phase Phase_ = Phase::Reading;
+  beast::flat_buffer Buffer_;
+  std::optional<Parser> Parser_;
+  std::optional<http::response<http::string_body>> Response_;
+  std::function<void()> CallerGone_;
+  std::uint64_t Request_ = 0;
+  std::size_t Discarded_ = 0;
+  TimePoint Deadline_ = TimePoint::max();
+  /// Bytes of the current request were received.
+  bool Started_ = false;
+  /// A request was served on this connection.
+  bool Served_ = false;
+  bool ReadPending_ = false;
+  bool InputEnded_ = false;
+  bool ContinueSent_ = false;
+};
+
+class Server final : public HttpServer,
+                     public std::enable_shared_from_this<Server> {
+public:
+  Server(asio::io_context &Io, HttpServerLimits Limits, Handler Serve)
+      : Limits(Limits), Serve(std::move(Serve)), Acceptor_(Io), Sweep_(Io),
+        Pause_(Io) {}
+
+  std::variant<std::string, Failure>
+  listen(const std::string &Address) override;
+  void setLimits(const HttpServerLimits &Next) override { Limits = Next; }
+  void beginDrain() override { Draining = true; }
+  void stop(std::function<void()> Stopped) override;
+  std::size_t connections() const override { return Sessions_.size(); }
+  const HttpServerCounters &counters() const override { return Counters; }
+
+  void remove(Session *Closed);
+
+  HttpServerLimits Limits;
+  Handler Serve;
+  HttpServerCounters Counters;
+  bool Draining = false;
+
+private:
+  void accept();
+  void onAccept(error_code Error, Tcp::socket Socket);
+  void sweep();
+  std::vector<std::shared_ptr<Session>> liveSessions() const;
+
+  Tcp::acceptor Acceptor_;
+  asio::steady_timer Sweep_;
+  asio::steady_timer Pause_;
+  std::unordered_map<Session *, std::weak_ptr<Session>> Sessions_;
+  std::function<void()> Stopped_;
+  bool Stopping_ = false;
+};
+
+Session::Session(std::shared_ptr<Server> Owner, Tcp::socket Socket)
+    : Owner_(std::move(Owner)), Socket_(std::move(Socket)) {
+  error_code Error;
+  Socket_.set_option(Tcp::no_delay(true), Error);
+  Tcp::endpoint Remote = Socket_.remote_endpoint(Error);
+  if (!Error)
+    Address_ = Remote.address().to_string();
+  RemoteAddress = Address_;
+}
+
+Session::~Session() {
+  // A handler that dropped its Respond function leaves the session open.
+  if (Phase_ != Phase::Closed)
+    Owner_->remove(this);
+}
+
+void Session::start() {
+  Deadline_ = std::chrono::steady_clock::now() + Owner_->Limits.ReadTimeout;
+  resetParser();
+  read();
+}
+
+void Session::refuse() {
+  write(makeProblemResponse({ErrorCode::Overloaded, Outcome::NotRun,
+                             "the host has too many open connections",
+                             Milliseconds(1000)}),
+        false);
+}
+
+std::string_view Session::header(std::string_view Name) const {
+  const auto &Message = Parser_->get();
+  auto Field = Message.find(Name);
+  if (Field == Message.end())
+    return {};
+  return Field->value();
+}
+
+void Session::resetParser() {
+  Parser_.emplace();
+  Parser_->eager(true);
+  Parser_->header_limit(static_cast<std::uint32_t>(Owner_->Limits.HeaderBytes));
+  Parser_->body_limit(Owner_->Limits.BodyBytes);
+  Started_ = false;
+  ContinueSent_ = false;
+}
+
+void Session::read() {
+  if (ReadPending_ || InputEnded_ || Phase_ == Phase::Closed)
+    return;
+  bool InBody = Phase_ == Phase::Reading && Parser_->is_header_done();
+  ReadPending_ = true;
+  Socket_.async_read_some(
+      Buffer_.prepare(InBody ? BodyChunkBytes : HeaderChunkBytes),
+      [Self = shared_from_this()](error_code Error, std::size_t Size) {
+        Self->onRead(Error, Size);
+      });
+}
+
+void Session::onRead(error_code Error, std::size_t Size) {
+  ReadPending_ = false;
+  if (Phase_ == Phase::Closed)
+    return;
+  if (!Error)
+    Buffer_.commit(Size);
+  else
+    InputEnded_ = true;
+
+  switch (Phase_) {
+  case Phase::Reading:
+    if (!Error)
+      return processInput();
+    if (!Started_)
+      return close();
+    ++Owner_->Counters.Malformed;
+    // The caller may have closed only its own direction.
+    return refuseRequest({ErrorCode::BadRequest, Outcome::NotRun,
+                          "the request ends before it is complete"});
+  case Phase::Running:
+    // Input in this phase is a pipelined request, which waits in the buffer.
+    if (!Error)
+      return;
+    ++Owner_->Counters.CallersGone;
+    return close();
+  case Phase::Writing:
+    return;
+  case Phase::Discarding:
+    Discarded_ += Size;
+    return discardInput();
+  case Phase::Closed:
+    return;
+  }
+}
+
+void Session::processInput() {
+  while (Buffer_.size() > 0) {
+    if (!Started_) {
+      Started_ = true;
+      Deadline_ = std::chrono::steady_clock::now() + Owner_->Limits.ReadTimeout;
+    }
+    error_code Error;
+    std::size_t Used = Parser_->put(Buffer_.data(), Error);
+    Buffer_.consume(Used);
+    if (Error && Error != http::error::need_more)
+      return onParseError(Error);
+    if (Parser_->is_done())
+      return run();
+    if (Error || Used == 0)
+      break;
+  }
+  if (Buffer_.size() > Owner_->Limits.HeaderBytes + BodyChunkBytes)
+    return onParseError(http::error::header_limit);
+  if (Parser_->is_header_done() && !ContinueSent_ &&
+      beast::iequals(Parser_->get()[http::field::expect], "100-continue")) {
+    ContinueSent_ = true;
+    static constexpr std::string_view Continue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(
+        Socket_, asio::buffer(Continue),
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          if (Error)
+            Self->close();
+          else
+            Self->read();
+        });
+    return;
+  }
+  read();
+}
+
+void Session::onParseError(error_code Error) {
+  ++Owner_->Counters.Malformed;
+  if (Error == http::error::header_limit)
+    return refuseRequest({ErrorCode::HeaderTooLarge, Outcome::NotRun,
+                          "the header is longer than " +
+                              std::to_string(Owner_->Limits.HeaderBytes) +
+                              " bytes"});
+  if (Error == http::error::body_limit)
+    return refuseRequest({ErrorCode::TooLarge, Outcome::NotRun,
+                          "the body is longer than " +
+                              std::to_string(Owner_->Limits.BodyBytes) +
+                              " bytes"});
+  refuseRequest({ErrorCode::BadRequest, Outcome::NotRun,
+                 "the request is not valid HTTP/1.1: " + Error.message()});
+}
+
+void Session::refuseRequest(const Problem &Error) {
+  write(makeProblemResponse(Error), false);
+}
+
+void Session::run() {
+  Phase_ = Phase::Running;
+  Deadline_ = TimePoint::max();
+  const auto &Message = Parser_->get();
+  Method = Message.method_string();
+  Target = Message.target();
+  Body = Message.body();
+  std::uint64_t Current = ++Request_;
+  std::function<void()> CallerGone = Owner_->Serve(
+      *this, [Self = shared_from_this(), Current](HttpResponse Response) {
+        Self->respond(Current, std::move(Response));
+      });
+  if (Phase_ != Phase::Running || Request_ != Current)
+    return;
+  CallerGone_ = std::move(CallerGone);
+  // A read in progress reports the end of the connection. With a pipelined
+  // request in the buffer that would need unbounded reading ahead.
+  if (Buffer_.size() == 0)
+    read();
+}
+
+void Session::respond(std::uint64_t Request, HttpResponse Response) {
+  if (Request != Request_ || Phase_ != Phase::Running)
+    return;
+  CallerGone_ = nullptr;
+  write(std::move(Response), Parser_->get().keep_alive() && !Owner_->Draining);
+}
+
+void Session::write(HttpResponse Response, bool KeepAlive) {
+  Phase_ = Phase::Writing;
+  Deadline_ = std::chrono::steady_clock::now() + Owner_->Limits.WriteTimeout;
+  Response_.emplace(static_cast<http::status>(Response.Status), 11);
+  for (const auto &[Name, Value] : Response.Headers)
+    Response_->insert(Name, Value);
+  Response_->body() = std::move(Response.Body);
+  Response_->keep_alive(KeepAlive);
+  Response_->prepare_payload();
+  http::async_write(Socket_, *Response_,
+                    [Self = shared_from_this()](error_code Error, std::size_t) {
+                      Self->onWritten(Error);
+                    });
+}
+
+void Session::onWritten(error_code Error) {
+  if (Phase_ == Phase::Closed)
+    return;
+  bool KeepAlive = Response_->keep_alive();
+  Response_.reset();
+  if (Error || InputEnded_)
+    return close();
+  if (!KeepAlive || Owner_->Draining) {
+    Phase_ = Phase::Discarding;
+    Deadline_ = std::chrono::steady_clock::now() + DiscardTimeout;
+    error_code Ignored;
+    Socket_.shutdown(Tcp::socket::shutdown_send, Ignored);
+    if (!ReadPending_)
+      discardInput();
+    return;
+  }
+  Served_ = true;
+  Phase_ = Phase::Reading;
+  Deadline_ = std::chrono::steady_clock::now() + Owner_->Limits.IdleTimeout;
+  resetParser();
+  if (!ReadPending_)
+    processInput();
+}
+
+void Session::discardInput() {
+  if (InputEnded_ || Discarded_ > DiscardBytes)
+    return close();
+  Buffer_.clear();
+  read();
+}
+
+void Session::checkDeadline(TimePoint Now) {
+  if (Now < Deadline_ || Phase_ == Phase::Closed)
+    return;
+  if (Phase_ != Phase::Reading || (!Started_ && Served_))
+    return close();
+  ++Owner_->Counters.TimedOut;
+  refuseRequest({ErrorCode::BadRequest, Outcome::NotRun,
+                 "the request was not received within " +
+                     std::to_string(Owner_->Limits.ReadTimeout.count()) + " ms",
+                 Milliseconds(0), 408});
+}
+
+void Session::stop() {
+  if (Phase_ == Phase::Reading && !Started_)
+    close();
+}
+
+void Session::close() {
+  if (Phase_ == Phase::Closed)
+    return;
+  Phase_ = Phase::Closed;
+  error_code Ignored;
+  Socket_.close(Ignored);
+  Owner_->remove(this);
+  if (auto CallerGone = std::exchange(CallerGone_, nullptr))
+    CallerGone();
+}
+
+std::optional<Tcp::endpoint> parseEndpoint(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  unsigned short Port = 0;
+  const char *End = Address.data() + Address.size();
+  auto [Rest, Status] = std::from_chars(Address.data() + Colon + 1, End, Port);
+  error_code Error;
+  auto Ip = asio::ip::make_address(Address.substr(0, Colon), Error);
+  if (Error || Status != std::errc() || Rest != End)
+    return std::nullopt;
+  return Tcp::endpoint(Ip, Port);
+}
+
+std::variant<std::string, HttpServer::Failure>
+Server::listen(const std::string &Address) {
+  std::optional<Tcp::endpoint> Local = parseEndpoint(Address);
+  if (!Local)
+    return Failure{"\"" + Address + "\" is not an address \"IP:port\""};
+  error_code Error;
+  Acceptor_.open(Local->protocol(), Error);
+  if (!Error)
+    Acceptor_.set_option(Tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor_.bind(*Local, Error);
+  if (!Error)
+    Acceptor_.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return Failure{"cannot listen at " + Address + ": " + Error.message()};
+  accept();
+  sweep();
+  Tcp::endpoint Bound = Acceptor_.local_endpoint(Error);
+  return Bound.address().to_string() + ":" + std::to_string(Bound.port());
+}
+
+void Server::accept() {
+  Acceptor_.async_accept(
+      [Self = shared_from_this()](error_code Error, Tcp::socket Socket) {
+        Self->onAccept(Error, std::move(Socket));
+      });
+}
+
+void Server::onAccept(error_code Error, Tcp::socket Socket) {
+  if (Stopping_)
+    return;
+  if (Error) {
+    Pause_.expires_after(AcceptPause);
+    Pause_.async_wait([Self = shared_from_this()](error_code Cancelled) {
+      if (!Cancelled && !Self->Stopping_)
+        Self->accept();
+    });
+    return;
+  }
+  ++Counters.Accepted;
+  bool Full = Sessions_.size() >= Limits.Connections;
+  if (Full)
+    ++Counters.Refused;
+  if (Sessions_.size() < Limits.Connections + RefusalsInProgress) {
+    auto Opened =
+        std::make_shared<Session>(shared_from_this(), std::move(Socket));
+    Sessions_.emplace(Opened.get(), Opened);
+    if (Full)
+      Opened->refuse();
+    else
+      Opened->start();
+  }
+  accept();
+}
+
+std::vector<std::shared_ptr<Session>> Server::liveSessions() const {
+  std::vector<std::shared_ptr<Session>> Live;
+  Live.reserve(Sessions_.size());
+  for (const auto &[Key, Weak] : Sessions_)
+    if (auto Strong = Weak.lock())
+      Live.push_back(std::move(Strong));
+  return Live;
+}
+
+void Server::sweep() {
+  Sweep_.expires_after(SweepInterval);
+  Sweep_.async_wait([Self = shared_from_this()](error_code Cancelled) {
+    if (Cancelled)
+      return;
+    TimePoint Now = std::chrono::steady_clock::now();
+    for (const auto &Live : Self->liveSessions())
+      Live->checkDeadline(Now);
+    if (!Self->Stopping_ || !Self->Sessions_.empty())
+      Self->sweep();
+  });
+}
+
+void Server::stop(std::function<void()> Stopped) {
+  Stopping_ = true;
+  Draining = true;
+  Stopped_ = std::move(Stopped);
+  error_code Ignored;
+  Acceptor_.close(Ignored);
+  Pause_.cancel();
+  for (const auto &Live : liveSessions())
+    Live->stop();
+  if (Sessions_.empty())
+    remove(nullptr);
+}
+
+void Server::remove(Session *Closed) {
+  Sessions_.erase(Closed);
+  if (!Stopping_ || !Sessions_.empty())
+    return;
+  Sweep_.cancel();
+  if (auto Stopped = std::exchange(Stopped_, nullptr))
+    Stopped();
+}
+
+} // namespace
+
+std::shared_ptr<HttpServer> HttpServer::create(asio::io_context &Io,
+                                               HttpServerLimits Limits,
+                                               Handler Serve) {
+  return std::make_shared<Server>(Io, Limits, std::move(Serve));
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/telemetry/events.h
@@ -0,0 +1,75 @@
+#ifndef NUTMEGLOOM_TELEMETRY_EVENTS_H
+#define NUTMEGLOOM_TELEMETRY_EVENTS_H
+
+#include <cstdint>
+#include <initializer_list>
+#include <iosfwd>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace nutmegloom {
+
+enum class LogLevel { Trace, Debug, Info, Warning, Error };
+std::string_view nameOf(LogLevel Level);
+
+/// Events that a host logs. Numbers never change their meaning; the catalogue
+/// is docs/events.md.
+enum class LogEvent {
+  HostStarted = 1001,
+  HostReady = 1002,
+  HostNotReady = 1003,
+  DrainStarted = 1004,
+  DrainFinished = 1005,
+  DrainTimedOut = 1006,
+  ListenFailed = 1007,
+  ConfigurationApplied = 1101,
+  ConfigurationRefused = 1102,
+  StoreUnreachable = 1103,
+  StoreReached = 1104,
+  HostListUnreachable = 1105,
+  HostListReached = 1106,
+  FailoverPhaseChanged = 1201,
+  PrimaryChanged = 1202,
+  TokenUnreadable = 1301,
+  RequestFailed = 1302,
+  PeerUnreachable = 1401,
+  PeerReached = 1402,
+  DatabaseUnreachable = 1501,
+  DatabaseReached = 1502,
+  DatabaseMalformed = 1503,
+};
+
+struct LogEventEntry {
+  LogEvent Event;
+  LogLevel Level;
+  std::string_view Name;
+  std::string_view Message;
+};
+
+/// All events, by number.
+std::span<const LogEventEntry> logEvents();
+
+enum class LogFormat { KeyValue, Json };
+
+using LogValue = std::variant<std::string_view, std::int64_t, double, bool>;
+/// Name and value of a field. Names are plain identifiers.
+using LogField = std::pair<std::string_view, LogValue>;
+
+/// Logs an event with its fields as one line. Lines go to standard error.
+void logEvent(LogEvent Event, std::initializer_list<LogField> Fields);
+
+/// Sets the lowest level that is logged. False: the name is unknown.
+bool setLogLevel(std::string_view Name);
+void setLogFormat(LogFormat Format);
+/// Sends the lines to a stream, for tests. The stream outlives later calls.
+void setLogStream(std::ostream &Stream);
+
+/// Writes one line as it is, at any level. Used for spans.
+void logLine(const std::string &Line);
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_TELEMETRY_EVENTS_H
