--- a/packages/core/concurrencylimit.cpp
+++ b/packages/core/concurrencylimit.cpp
@@ -13,16 +13,19 @@
 /// Throughput gain per added statement below which more is no use.
 static constexpr double UsefulGain = 1.03;
 /// Statements between two tries of the next higher level.
-static constexpr std::uint32_t ProbeInterval = 500;
+static constexpr std::uint32_t ProbeInterval = 200;
+/// Levels above the slots. A statement holds its place here for the round
+/// trip as well as for its time in the slot, so the slots stay busy only when
+/// more statements are under way than there are slots.
+static constexpr std::uint32_t LevelsPerSlot = 3;
 
-ConcurrencyLimit::ConcurrencyLimit(std::uint32_t Slots)
-    : Levels_(std::max(Slots, 1U)), Limit_(std::max(Slots, 1U)) {}
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t Slots) { setSlots(Slots); }
 
 void ConcurrencyLimit::setSlots(std::uint32_t Slots) {
   const std::uint32_t Wanted = std::max(Slots, 1U);
-  if (Wanted == Levels_.size())
+  if (Wanted * LevelsPerSlot == Levels_.size())
     return;
-  Levels_.assign(Wanted, Level());
+  Levels_.assign(Wanted * LevelsPerSlot, Level());
   Limit_ = Wanted;
 }
 
@@ -30,8 +33,10 @@
   if (Concurrency == 0 || Concurrency > Levels_.size())
     return;
   Level &Entry = Levels_[Concurrency - 1];
-  Entry.Ratio += Gain * (std::min(Ratio, RatioCap) - Entry.Ratio);
   ++Entry.Samples;
+  // The mean of the first samples, then a moving mean.
+  const double Weight = std::max(Gain, 1.0 / Entry.Samples);
+  Entry.Ratio += Weight * (std::min(Ratio, RatioCap) - Entry.Ratio);
   update();
 }
 
