Add the fixture of the engine's tests and a fake group

The engine is driven over small fake databases with terms, logs and key records, so that faults can be put between any two messages.

--- a/packages/core/connectionpool.cpp
+++ b/packages/core/connectionpool.cpp
@@ -69,8 +69,12 @@
   Functions_.Close(Id);
 }
 
-void ConnectionPool::dropIdle(const DatabaseId &Database) {
-  const std::vector<ConnectionId> Idle = Members_[Database].Idle;
+void ConnectionPool::dropIdle(const DatabaseId &Database, TimePoint Since) {
+  std::vector<ConnectionId> Idle;
+  for (const auto &[Id, Entry] : Connections_)
+    if (Entry.Use == State::Idle &&
+        (Entry.Database == Database || Entry.Since < Since))
+      Idle.push_back(Id);
   for (const ConnectionId Id : Idle)
     drop(Id);
 }
--- a/packages/core/connectionpool.h
+++ b/packages/core/connectionpool.h
@@ -28,9 +28,9 @@
   void release(ConnectionId Connection, TimePoint Now);
   /// Closes a connection.
   void drop(ConnectionId Connection);
-  /// Closes the idle connections of a database, for example because one of
-  /// its connections has stopped responding.
-  void dropIdle(const DatabaseId &Database);
+  /// Closes the idle connections of a database, and those of the others that
+  /// were last known to work before Since.
+  void dropIdle(const DatabaseId &Database, TimePoint Since);
 
   /// Returns the database of the connection; nothing for an unknown one.
   std::optional<DatabaseId> onOpened(ConnectionId Connection, TimePoint Now);
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -285,8 +285,9 @@
     Failure.Exchange = Found->second.Id;
     Failure.Detail = "the connection stopped responding";
     Functions_.Connections.Close(Connection);
-    // What silenced this connection may have silenced the idle ones as well.
-    Pool_.dropIdle(Database);
+    // What silenced this connection may have silenced others as well, also
+    // those to other databases on the same network path.
+    Pool_.dropIdle(Database, Found->second.SentAt);
     endExchange(Connection, Failure, false, true, Now);
   }
   Pool_.tick(Now);
--- /dev/null
+++ b/tests/core/enginefixture.cpp
@@ -0,0 +1,314 @@
+#include "tests/core/enginefixture.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+static const GroupId Group = "db/0";
+
+EngineFixture::EngineFixture(bool Remote) {
+  const RegionName Region = Remote ? "far" : "near";
+  EngineHooks Hooks;
+  Hooks.Answer = [this](TaskId Task, const CallerAnswer &Answer) {
+    if (!Answers.emplace(Task, Answer).second)
+      Violation = "two answers for one task";
+  };
+  Hooks.Forward = [this](const HostName &Name, TaskId Task,
+                         const CallerRequest &Request) {
+    Forwards.push_back({Name, Task, Request});
+  };
+  Hooks.OpenConnection = [this](ConnectionId Connection, const DatabaseId &Id) {
+    open(Connection, Id);
+  };
+  Hooks.CloseConnection = [this](ConnectionId Connection) {
+    close(Connection);
+  };
+  Hooks.SendToDatabase = [this](ConnectionId Connection,
+                                const DatabaseRequest &Request) {
+    send(Connection, Request);
+  };
+  Hooks.Membership.SendHeartbeat = [](const HostEntity &,
+                                      const PeerHeartbeat &) {};
+  Hooks.Failover.SendControl = [this](const ControlRequest &Request) {
+    control(Request);
+  };
+  Hooks.Failover.PollStatus = [this](const DatabaseId &Id, std::uint64_t After,
+                                     Milliseconds Wait) {
+    poll(Id, After, Now + Wait, Now);
+  };
+  Hooks.Failover.Random = [] { return 0; };
+  Hooks.Configuration = {
+      [](std::uint64_t) {}, [](const HostName &) {},
+      [](std::uint64_t, const std::string &) { return true; }};
+  Hooks.NewIdentifier = [this] {
+    return "id" + std::to_string(++LastIdentifier);
+  };
+  PeerHeartbeat Self;
+  Self.Host = "self.example";
+  Self.Incarnation = "1";
+  Self.Region = "near";
+  Self.Zone = "near-a";
+  Self.State = HostState::Ready;
+  Host = std::make_unique<Engine>(Self, std::move(Hooks));
+
+  Deployment Content;
+  GroupEntity Entity;
+  Entity.Id = Group;
+  for (const char *Id : {"a", "b", "c"}) {
+    FakeDatabase &Each = Databases[Id];
+    Each.Id = Id;
+    Each.HeardPrimary = Now;
+    Each.Log.push_back({1, "", false, 0, Now});
+    DatabaseEntity Member;
+    Member.Id = Id;
+    Member.Group = Group;
+    Member.Region = Region;
+    Member.Slots = 3;
+    Member.ConnectionCap = 20;
+    Content.Databases.push_back(Member);
+    Entity.Members.push_back(Id);
+  }
+  database("a").Role = DatabaseRole::Primary;
+  Content.Groups.push_back(Entity);
+  Host->applyDeployment(Content, Now);
+  run(Milliseconds(300));
+}
+
+void EngineFixture::at(TimePoint When, std::function<void()> Action) {
+  Events.emplace(When, std::move(Action));
+}
+
+void EngineFixture::deliver(Milliseconds Delay, std::function<void()> Action) {
+  at(Now + Delay, [this, Action = std::move(Action)] {
+    if (Now < PausedUntil) {
+      at(PausedUntil, Action);
+      return;
+    }
+    Action();
+    Host->tick(Now);
+  });
+}
+
+void EngineFixture::run(Milliseconds Span) {
+  const TimePoint End = Now + Span;
+  while (Now < End) {
+    Now += Milliseconds(1);
+    while (!Events.empty() && Events.begin()->first <= Now) {
+      const auto Action = std::move(Events.begin()->second);
+      Events.erase(Events.begin());
+      Action();
+    }
+    replicate();
+    for (const auto &[Id, Each] : Databases)
+      MostConnections = std::max(MostConnections, connectionsOf(Id));
+    if (Now >= PausedUntil &&
+        Now.time_since_epoch() % Milliseconds(10) == Duration(0))
+      Host->tick(Now);
+  }
+}
+
+const CallerAnswer &EngineFixture::await(TaskId Task) {
+  for (int Step = 0; Step < 1000 && !Answers.contains(Task); ++Step)
+    run(Milliseconds(10));
+  return Answers.at(Task);
+}
+
+CallerRequest EngineFixture::makeWrite(const std::string &Key) const {
+  CallerRequest Request;
+  Request.Group = Group;
+  Request.Kind = StatementKind::Write;
+  Request.Key = Key;
+  Request.Fingerprint = 1;
+  Request.Caller = "caller";
+  Request.Deadline = Now + Milliseconds(5000);
+  return Request;
+}
+
+CallerRequest EngineFixture::makeRead(const std::string &Key) const {
+  CallerRequest Request = makeWrite("");
+  Request.Kind = StatementKind::Read;
+  Request.Statement = Key;
+  Request.Required = Position{};
+  return Request;
+}
+
+TaskId EngineFixture::submit(const CallerRequest &Request) {
+  const TaskId Task = ++LastTask;
+  deliver(Milliseconds(0),
+          [this, Task, Request] { Host->submit(Task, Request, Now); });
+  return Task;
+}
+
+void EngineFixture::addHost(const HostName &Name, const RegionName &Region) {
+  PeerHeartbeat Beat;
+  Beat.Host = Name;
+  Beat.Incarnation = "1";
+  Beat.Region = Region;
+  Beat.State = HostState::Ready;
+  Host->membership().onHeartbeat(Beat, Now);
+}
+
+FakeDatabase *EngineFixture::primary() {
+  FakeDatabase *Latest = nullptr;
+  for (auto &[Id, Each] : Databases)
+    if (Each.Role == DatabaseRole::Primary &&
+        (Latest == nullptr || Each.Term > Latest->Term))
+      Latest = &Each;
+  return Latest;
+}
+
+void EngineFixture::setCut(const DatabaseId &Id, bool Cut) {
+  database(Id).Cut = Cut;
+}
+
+void EngineFixture::silenceConnections() {
+  for (const auto &[Connection, Id] : Connections)
+    Silent.insert(Connection);
+}
+
+void EngineFixture::breakConnections(const DatabaseId &Id) {
+  const auto Open = Connections;
+  for (const auto &[Connection, Database] : Open) {
+    if (Database != Id)
+      continue;
+    database(Id).Open.erase(Connection);
+    Connections.erase(Connection);
+    if (Owed.contains(Connection))
+      fail(Connection, Owed.at(Connection));
+    else
+      deliver(Milliseconds(1), [this, Connection = Connection] {
+        Host->onConnectionClosed(Connection, Now);
+      });
+  }
+}
+
+std::size_t EngineFixture::connectionsOf(const DatabaseId &Id) const {
+  return static_cast<std::size_t>(
+      std::count_if(Connections.begin(), Connections.end(),
+                    [&](const auto &Entry) { return Entry.second == Id; }));
+}
+
+void EngineFixture::replicate() {
+  const FakeDatabase *Primary = primary();
+  if (Primary == nullptr)
+    return;
+  for (auto &[Id, Each] : Databases)
+    if (Id != Primary->Id)
+      Each.pull(*Primary, Now);
+}
+
+void EngineFixture::poll(const DatabaseId &Id, std::uint64_t After,
+                         TimePoint Until, TimePoint SentAt) {
+  const FakeDatabase &Asked = database(Id);
+  if (Asked.Cut) {
+    deliver(Milliseconds(300), [this, Id] { Host->onStatusFailed(Id, Now); });
+    return;
+  }
+  if (Asked.Log.size() > After || Now >= Until) {
+    deliver(Milliseconds(2), [this, SentAt, Status = Asked.status(Now)] {
+      Host->onStatus(Status, SentAt, Now);
+    });
+    return;
+  }
+  at(Now + Milliseconds(3), [=, this] { poll(Id, After, Until, SentAt); });
+}
+
+void EngineFixture::control(const ControlRequest &Request) {
+  at(Now + Milliseconds(1), [this, Request, SentAt = Now] {
+    FakeDatabase &Target = database(Request.Database);
+    if (Target.Cut) {
+      deliver(Milliseconds(300),
+              [this, Request] { Host->onControlFailed(Request, Now); });
+    } else if (const auto Refused = Target.promise(Request, Now)) {
+      deliver(Milliseconds(1), [this, Request, Refused] {
+        Host->onControlRefused(Request, *Refused, Now);
+      });
+    } else {
+      deliver(Milliseconds(1),
+              [this, Request, SentAt, Status = Target.status(Now)] {
+                Host->onControlGranted(Request, Status, SentAt, Now);
+              });
+    }
+  });
+}
+
+void EngineFixture::open(ConnectionId Connection, const DatabaseId &Id) {
+  Connections[Connection] = Id;
+  const bool Cut = database(Id).Cut;
+  deliver(Milliseconds(Cut ? 200 : 3), [this, Connection, Cut] {
+    if (!Connections.contains(Connection))
+      return;
+    if (!Cut) {
+      Host->onConnectionOpened(Connection, Now);
+      return;
+    }
+    Connections.erase(Connection);
+    Host->onConnectionClosed(Connection, Now);
+  });
+}
+
+void EngineFixture::close(ConnectionId Connection) {
+  const auto Found = Connections.find(Connection);
+  if (Found == Connections.end())
+    return;
+  database(Found->second).Open.erase(Connection);
+  Connections.erase(Found);
+  Owed.erase(Connection);
+}
+
+void EngineFixture::send(ConnectionId Connection,
+                         const DatabaseRequest &Request) {
+  const DatabaseId Id = Connections.at(Connection);
+  if (!Owed.emplace(Connection, Request.Exchange).second)
+    Violation = "a connection that owes an answer was used";
+  Sent.emplace_back(Id, Request);
+  const Milliseconds Delay = Milliseconds(1) + RequestDelay;
+  at(Now + Delay, [=, this] { arrive(Connection, Id, Request); });
+}
+
+void EngineFixture::arrive(ConnectionId Connection, const DatabaseId &Id,
+                           const DatabaseRequest &Request) {
+  if (Silent.contains(Connection))
+    return;
+  if (database(Id).Cut) {
+    // The network may deliver it once the database is connected again.
+    at(Now + Milliseconds(700), [=, this] { arrive(Connection, Id, Request); });
+    return;
+  }
+  database(Id).Executing.push_back(std::to_string(Request.Exchange));
+  at(Now + WorkTime, [=, this] {
+    FakeDatabase &Target = database(Id);
+    std::erase(Target.Executing, std::to_string(Request.Exchange));
+    const auto Result = Target.execute(Connection, Request, Now);
+    if (LoseAnswers > 0) {
+      --LoseAnswers;
+      Target.Open.erase(Connection);
+      Connections.erase(Connection);
+      fail(Connection, Request.Exchange);
+      return;
+    }
+    if (Target.Cut)
+      return;
+    deliver(Milliseconds(1), [=, this] {
+      if (!Connections.contains(Connection))
+        return;
+      Owed.erase(Connection);
+      if (const auto *Answer = std::get_if<DatabaseAnswer>(&Result))
+        Host->onDatabaseAnswer(Connection, *Answer, Now);
+      else
+        Host->onDatabaseFailure(Connection, std::get<DatabaseFailure>(Result),
+                                Now);
+    });
+  });
+}
+
+void EngineFixture::fail(ConnectionId Connection, ExchangeId Exchange) {
+  Owed.erase(Connection);
+  DatabaseFailure Broken;
+  Broken.Exchange = Exchange;
+  deliver(Milliseconds(1), [this, Connection, Broken] {
+    Host->onDatabaseFailure(Connection, Broken, Now);
+  });
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/core/enginefixture.h
@@ -0,0 +1,90 @@
+#ifndef NUTMEGLOOM_TESTS_CORE_ENGINEFIXTURE_H
+#define NUTMEGLOOM_TESTS_CORE_ENGINEFIXTURE_H
+
+#include "core/engine.h"
+#include "tests/core/fakegroup.h"
+
+#include <set>
+
+namespace nutmegloom {
+
+/// An engine between callers and a group of three fake databases "a", "b" and
+/// "c" in its own region, on a clock that only run moves.
+class EngineFixture {
+public:
+  struct Forwarded {
+    HostName Host;
+    TaskId Attempt = 0;
+    CallerRequest Request;
+  };
+
+  /// Remote puts the databases into another region than the host.
+  explicit EngineFixture(bool Remote = false);
+
+  /// Moves the clock and delivers what happens in that time.
+  void run(Milliseconds Span);
+  /// Runs until the task is answered, for at most ten seconds.
+  const CallerAnswer &await(TaskId Task);
+
+  CallerRequest makeWrite(const std::string &Key) const;
+  CallerRequest makeRead(const std::string &Key) const;
+  TaskId submit(const CallerRequest &Request);
+  /// Adds a live host.
+  void addHost(const HostName &Name, const RegionName &Region);
+
+  FakeDatabase &database(const DatabaseId &Id) { return Databases.at(Id); }
+  FakeDatabase *primary();
+  /// Connects or cuts off a database.
+  void setCut(const DatabaseId &Id, bool Cut);
+  /// Stops serving the connections that are open now; new ones work.
+  void silenceConnections();
+  void breakConnections(const DatabaseId &Id);
+  std::size_t connectionsOf(const DatabaseId &Id) const;
+  /// The engine gets no input and no time until then.
+  void pause(Milliseconds Span) { PausedUntil = Now + Span; }
+
+  std::unique_ptr<Engine> Host;
+  TimePoint Now = TimePoint(std::chrono::hours(1));
+  std::map<DatabaseId, FakeDatabase> Databases;
+  std::map<TaskId, CallerAnswer> Answers;
+  std::vector<Forwarded> Forwards;
+  /// All requests that were sent to databases.
+  std::vector<std::pair<DatabaseId, DatabaseRequest>> Sent;
+  std::size_t MostConnections = 0;
+
+  /// Service answers that are lost together with their connection.
+  std::size_t LoseAnswers = 0;
+  /// Requests that arrive so much later.
+  Milliseconds RequestDelay{0};
+  Milliseconds WorkTime{1};
+  /// A connection was used while it owed an answer, or a task was answered
+  /// twice.
+  std::string Violation;
+
+private:
+  void at(TimePoint When, std::function<void()> Action);
+  /// Delivers to the engine, after a pause if there is one.
+  void deliver(Milliseconds Delay, std::function<void()> Action);
+  void replicate();
+  void poll(const DatabaseId &Id, std::uint64_t After, TimePoint Until,
+            TimePoint SentAt);
+  void control(const ControlRequest &Request);
+  void open(ConnectionId Connection, const DatabaseId &Id);
+  void close(ConnectionId Connection);
+  void send(ConnectionId Connection, const DatabaseRequest &Request);
+  void arrive(ConnectionId Connection, const DatabaseId &Id,
+              const DatabaseRequest &Request);
+  void fail(ConnectionId Connection, ExchangeId Exchange);
+
+  std::multimap<TimePoint, std::function<void()>> Events;
+  std::map<ConnectionId, DatabaseId> Connections;
+  std::map<ConnectionId, ExchangeId> Owed;
+  std::set<ConnectionId> Silent;
+  TimePoint PausedUntil;
+  std::uint64_t LastIdentifier = 0;
+  TaskId LastTask = 0;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_TESTS_CORE_ENGINEFIXTURE_H
