--- /dev/null
+++ b/packages/core/configurationsystem.cpp
@@ -0,0 +1,157 @@
+#include "core/configurationsystem.h"
+
+#include "core/rendezvous.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+static constexpr std::size_t WatchersPerZone = 2;
+/// Pause after a failed watch; the store's calls are limited.
+static constexpr Milliseconds WatchRetry{1000};
+/// A fetch or a watch without any result is given up after this time.
+static constexpr Milliseconds FetchTimeout{2000};
+static constexpr Milliseconds WatchTimeout{120000};
+/// A peer that failed to deliver is not asked again for this time.
+static constexpr Milliseconds PeerRetry{1000};
+
+std::string_view nameOf(ConfigurationSource Source) {
+  switch (Source) {
+  case ConfigurationSource::None:
+    return "none";
+  case ConfigurationSource::Peers:
+    return "peers";
+  case ConfigurationSource::Store:
+    return "store";
+  }
+  return "invalid";
+}
+
+ConfigurationSystem::ConfigurationSystem(const Tables &Data,
+                                         const Policy &Limits, HostName Self,
+                                         ZoneName Zone, Hooks Functions)
+    : Data_(Data), Limits_(Limits), Self_(std::move(Self)),
+      Zone_(std::move(Zone)), Functions_(std::move(Functions)) {}
+
+void ConfigurationSystem::accept(std::uint64_t Version,
+                                 const std::string &Text) {
+  if (Version <= Version_ || Version == RefusedVersion_)
+    return;
+  if (!Functions_.Apply(Version, Text)) {
+    RefusedVersion_ = std::max(RefusedVersion_, Version);
+    return;
+  }
+  Version_ = Version;
+  Text_ = Text;
+}
+
+void ConfigurationSystem::onStoreConfiguration(std::uint64_t Version,
+                                               const std::string &Text,
+                                               TimePoint Now) {
+  WatchStarted_.reset();
+  NextWatch_ = Now;
+  if (Version < Version_) {
+    // The store answers with less than is in force here. Asking again at once
+    // would give the same answer.
+    NextWatch_ = Now + WatchRetry;
+    return;
+  }
+  accept(Version, Text);
+  if (Version_ == Version)
+    Source_ = ConfigurationSource::Store;
+}
+
+void ConfigurationSystem::onStoreUnchanged(TimePoint Now) {
+  WatchStarted_.reset();
+  NextWatch_ = Now;
+  if (Version_ > 0)
+    Source_ = ConfigurationSource::Store;
+  else
+    // The head does not exist yet, and a store may answer this at once.
+    NextWatch_ = Now + WatchRetry;
+}
+
+void ConfigurationSystem::onStoreFailed(TimePoint Now) {
+  WatchStarted_.reset();
+  NextWatch_ = Now + WatchRetry;
+}
+
+void ConfigurationSystem::onPeerConfiguration(const HostName &Host,
+                                              std::uint64_t Version,
+                                              const std::string &Text,
+                                              TimePoint Now) {
+  if (Fetching_ == Host)
+    Fetching_.reset();
+  const std::uint64_t Before = Version_;
+  accept(Version, Text);
+  if (Version_ > Before)
+    Source_ = ConfigurationSource::Peers;
+  else
+    // The peer announced more than it delivered.
+    PeerRetryAt_[Host] = Now + PeerRetry;
+}
+
+void ConfigurationSystem::onPeerFailed(const HostName &Host, TimePoint Now) {
+  if (Fetching_ == Host)
+    Fetching_.reset();
+  PeerRetryAt_[Host] = Now + PeerRetry;
+}
+
+bool ConfigurationSystem::isWatcher() const {
+  std::vector<HostName> Candidates{Self_};
+  for (const auto &[Name, Host] : Data_.Hosts)
+    if (Host.Zone == Zone_ && Name != Self_ && isLive(Host))
+      Candidates.push_back(Name);
+  const std::vector<HostName> Ranked =
+      rankHosts("configuration@" + Zone_, std::move(Candidates));
+  const auto Last =
+      Ranked.begin() +
+      static_cast<std::ptrdiff_t>(std::min(WatchersPerZone, Ranked.size()));
+  return std::find(Ranked.begin(), Last, Self_) != Last;
+}
+
+void ConfigurationSystem::tick(TimePoint Now) {
+  if (WatchStarted_ && Now - *WatchStarted_ >= WatchTimeout)
+    WatchStarted_.reset();
+  // A host without a configuration asks the store whatever its rank is.
+  if (!WatchStarted_ && (!NextWatch_ || Now >= *NextWatch_) &&
+      (Source_ == ConfigurationSource::None || isWatcher())) {
+    WatchStarted_ = Now;
+    // A watch after the version in force would return the refused text again
+    // and again.
+    Functions_.WatchStore(std::max(Version_, RefusedVersion_));
+  }
+  startFetch(Now);
+}
+
+void ConfigurationSystem::startFetch(TimePoint Now) {
+  if (Fetching_ && Now - *FetchStarted_ >= FetchTimeout) {
+    PeerRetryAt_[*Fetching_] = Now + PeerRetry;
+    Fetching_.reset();
+  }
+  std::erase_if(PeerRetryAt_,
+                [Now](const auto &Entry) { return Entry.second <= Now; });
+  if (Fetching_)
+    return;
+  const HostEntity *Best = nullptr;
+  for (const auto &[Name, Host] : Data_.Hosts) {
+    if (Name == Self_ || Host.Suspected ||
+        Host.ConfigurationVersion <= std::max(Version_, RefusedVersion_) ||
+        PeerRetryAt_.contains(Name))
+      continue;
+    // Hosts of the own zone come first, because traffic between regions is
+    // billed.
+    const auto Preference = [this](const HostEntity &Candidate) {
+      return std::pair(Candidate.ConfigurationVersion, Candidate.Zone == Zone_);
+    };
+    if (!Best || Preference(Host) > Preference(*Best))
+      Best = &Host;
+  }
+  if (!Best)
+    return;
+  Fetching_ = Best->Name;
+  FetchStarted_ = Now;
+  Functions_.FetchFromPeer(Best->Name);
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/failover.cpp
@@ -0,0 +1,496 @@
+#include "core/failover.h"
+
+#include "core/ownership.h"
+
+#include <algorithm>
+#include <set>
+
+namespace nutmegloom {
+
+/// The primary is replaced although replicas still hear it once it has been
+/// unresponsive for this multiple of the silence: then it is of no use to the
+/// hosts even if it is alive. In halves, since 2.5 is not a whole number.
+static constexpr int UnresponsiveHalves = 5;
+/// Wait per rank before a host takes over from the ranks before it, in halves
+/// of the silence (1.5 s for 1 s of silence).
+static constexpr int RankDelayHalves = 3;
+/// The wait after the fences, in tenths of the term's validity. The tenth over
+/// the validity covers clocks of hosts that run at different rates.
+static constexpr int FenceWaitTenths = 11;
+/// Fences and promotions without a reply are repeated, then given up.
+static constexpr int AttemptSilences = 3;
+/// A member that promised a term without a primary is left alone for this
+/// time, since to bring it back costs a change of term.
+static constexpr int StrandedSilences = 5;
+/// Pause between planned changes that did not move the primary.
+static constexpr int PlannedSilences = 5;
+
+std::string_view nameOf(FailoverPhase Phase) {
+  switch (Phase) {
+  case FailoverPhase::Idle:
+    return "idle";
+  case FailoverPhase::Fencing:
+    return "fencing";
+  case FailoverPhase::Waiting:
+    return "waiting";
+  case FailoverPhase::Promoting:
+    return "promoting";
+  }
+  return "invalid";
+}
+
+struct FailoverSystem::Attempt {
+  FailoverPhase Phase = FailoverPhase::Idle;
+  /// Term of the attempt, kept after its end: a term in which a promotion may
+  /// have been sent must never be used for another one.
+  std::uint64_t Term = 0;
+  TimePoint StartedAt;
+  TimePoint SentAt;
+  TimePoint MajorityAt;
+  /// Status of each member when it granted the fence.
+  std::map<DatabaseId, DatabaseStatus> Granted;
+  std::set<DatabaseId> Refused;
+  DatabaseId Candidate;
+  /// No attempt starts before this time.
+  std::optional<TimePoint> NotBefore;
+  /// Since when the group has a reason for a new primary, and which.
+  std::optional<TimePoint> ReasonSince;
+  std::string Reason;
+  /// When members that have to follow the primary were last told so.
+  std::map<DatabaseId, TimePoint> FollowSentAt;
+};
+
+struct FailoverSystem::Poll {
+  std::optional<TimePoint> SentAt;
+  std::optional<TimePoint> NextAt;
+};
+
+FailoverSystem::FailoverSystem(Tables &Data, const Policy &Limits,
+                               const OwnershipSystem &Owners,
+                               std::string Promoter, Hooks Functions)
+    : Data_(Data), Limits_(Limits), Owners_(Owners),
+      Promoter_(std::move(Promoter)), Functions_(std::move(Functions)) {}
+
+FailoverSystem::~FailoverSystem() = default;
+
+static std::size_t majorityOf(const GroupEntity &Group) {
+  return Group.Members.size() / 2 + 1;
+}
+
+/// Position of a log in the order that decides which log survives.
+static std::pair<std::uint64_t, std::uint64_t>
+logEndOf(const DatabaseStatus &Status) {
+  return {Status.LogTerm, Status.Received};
+}
+
+static const DatabaseEntity *findDatabase(const Tables &Data,
+                                          const DatabaseId &Id) {
+  const auto Found = Data.Databases.find(Id);
+  return Found == Data.Databases.end() ? nullptr : &Found->second;
+}
+
+/// Members that have reported a status in exchanges sent since Earliest.
+static std::vector<const DatabaseEntity *>
+respondingMembers(const Tables &Data, const GroupEntity &Group,
+                  TimePoint Earliest) {
+  std::vector<const DatabaseEntity *> Responding;
+  for (const DatabaseId &Member : Group.Members)
+    if (const DatabaseEntity *Database = findDatabase(Data, Member);
+        Database && Database->StatusSentAt &&
+        *Database->StatusSentAt >= Earliest)
+      Responding.push_back(Database);
+  return Responding;
+}
+
+Duration FailoverSystem::jitter(Duration Bound) const {
+  const auto Range = static_cast<std::uint64_t>(Bound.count());
+  return Duration(
+      static_cast<Duration::rep>(Range == 0 ? 0 : Functions_.Random() % Range));
+}
+
+void FailoverSystem::updateGroup(const DatabaseEntity &Database) {
+  const auto Found = Data_.Groups.find(Database.Group);
+  if (Found == Data_.Groups.end())
+    return;
+  GroupEntity &Group = Found->second;
+  const DatabaseStatus &Status = Database.Status;
+  if (Status.Role != DatabaseRole::Primary) {
+    if (Group.Primary == Database.Id && Status.Term >= Group.Term)
+      Group.Primary.reset();
+    return;
+  }
+  if (Status.Term < Group.Term)
+    return;
+  Group.Term = Status.Term;
+  Group.Primary = Database.Id;
+  Group.Terms = Status.Terms;
+}
+
+void FailoverSystem::onStatus(const DatabaseStatus &Status, TimePoint SentAt,
+                              TimePoint Now) {
+  const auto Found = Data_.Databases.find(Status.Database);
+  if (Found == Data_.Databases.end())
+    return;
+  DatabaseEntity &Database = Found->second;
+  if (const auto Asked = Polls_.find(Database.Id);
+      Asked != Polls_.end() && Asked->second.SentAt &&
+      *Asked->second.SentAt <= SentAt) {
+    Asked->second.SentAt.reset();
+    Asked->second.NextAt = Now;
+  }
+  // Replies of overlapping exchanges may arrive in any order.
+  if (Database.StatusSentAt && SentAt < *Database.StatusSentAt)
+    return;
+  Database.Status = Status;
+  Database.StatusSentAt = SentAt;
+  Database.StatusReceivedAt = Now;
+  Database.FailingSince.reset();
+  Database.Leaving = Database.LeavingInList || Status.Leaving;
+  updateGroup(Database);
+}
+
+void FailoverSystem::onStatusFailed(const DatabaseId &Database, TimePoint Now) {
+  const auto Found = Data_.Databases.find(Database);
+  if (Found == Data_.Databases.end())
+    return;
+  if (!Found->second.FailingSince)
+    Found->second.FailingSince = Now;
+  Poll &Asked = Polls_[Database];
+  Asked.SentAt.reset();
+  Asked.NextAt = Now + Limits_.StatusInterval;
+}
+
+void FailoverSystem::onControlGranted(const ControlRequest &Request,
+                                      const DatabaseStatus &Status,
+                                      TimePoint SentAt, TimePoint Now) {
+  onStatus(Status, SentAt, Now);
+  const DatabaseEntity *Database = findDatabase(Data_, Request.Database);
+  if (!Database || Status.Database != Request.Database)
+    return;
+  const auto Group = Data_.Groups.find(Database->Group);
+  const auto Found = Attempts_.find(Database->Group);
+  if (Group == Data_.Groups.end() || Found == Attempts_.end())
+    return;
+  Attempt &State = Found->second;
+  if (Request.Term != State.Term || Request.Promoter != Promoter_ ||
+      Status.Term != State.Term)
+    return;
+  if (Request.Command == ControlCommand::Fence &&
+      (State.Phase == FailoverPhase::Fencing ||
+       State.Phase == FailoverPhase::Waiting)) {
+    State.Granted.emplace(Request.Database, Status);
+    State.Refused.erase(Request.Database);
+    if (State.Phase == FailoverPhase::Fencing &&
+        State.Granted.size() >= majorityOf(Group->second)) {
+      State.MajorityAt = Now;
+      enter(Group->first, State, FailoverPhase::Waiting,
+            std::to_string(State.Granted.size()) + " members fenced");
+    }
+  }
+  if (Request.Command == ControlCommand::Promote &&
+      State.Phase == FailoverPhase::Promoting)
+    complete(Group->second, State, Now);
+}
+
+void FailoverSystem::complete(const GroupEntity &Group, Attempt &State,
+                              TimePoint Now) {
+  State.ReasonSince.reset();
+  enter(Group.Id, State, FailoverPhase::Idle, State.Candidate + " is primary");
+  for (const DatabaseId &Member : Group.Members)
+    if (Member != State.Candidate) {
+      State.FollowSentAt[Member] = Now;
+      sendFollow(Group, Member);
+    }
+}
+
+void FailoverSystem::onControlRefused(const ControlRequest &Request,
+                                      std::uint64_t Term, TimePoint Now) {
+  // What the member reported before is out of date.
+  if (const auto Asked = Polls_.find(Request.Database); Asked != Polls_.end())
+    Asked->second.NextAt = Now;
+  const DatabaseEntity *Database = findDatabase(Data_, Request.Database);
+  if (!Database)
+    return;
+  const auto Group = Data_.Groups.find(Database->Group);
+  const auto Found = Attempts_.find(Database->Group);
+  if (Group == Data_.Groups.end() || Found == Attempts_.end())
+    return;
+  Attempt &State = Found->second;
+  if (Request.Term != State.Term || Request.Promoter != Promoter_)
+    return;
+  const Duration Pause = Limits_.PrimarySilence / 2;
+  if (Request.Command == ControlCommand::Promote &&
+      State.Phase == FailoverPhase::Promoting) {
+    giveUp(Group->first, State, Pause, Now,
+           Request.Database + " has promised term " + std::to_string(Term));
+    return;
+  }
+  if (Request.Command != ControlCommand::Fence ||
+      State.Phase != FailoverPhase::Fencing)
+    return;
+  State.Refused.insert(Request.Database);
+  // Another promoter is ahead, or has enough grants to prevent a majority.
+  if (Term > State.Term || Group->second.Members.size() - State.Refused.size() <
+                               majorityOf(Group->second))
+    giveUp(Group->first, State, Pause, Now,
+           Request.Database + " has promised term " + std::to_string(Term));
+}
+
+void FailoverSystem::onControlFailed(const ControlRequest &, TimePoint) {
+  // The repetition in advance and repair covers lost commands and replies.
+}
+
+void FailoverSystem::enter(const GroupId &Group, Attempt &State,
+                           FailoverPhase Phase, const std::string &Detail) {
+  State.Phase = Phase;
+  if (Functions_.Report)
+    Functions_.Report(Group, Phase, State.Term, Detail);
+}
+
+void FailoverSystem::giveUp(const GroupId &Group, Attempt &State,
+                            Duration Pause, TimePoint Now,
+                            const std::string &Reason) {
+  // The jitter lets one of several promoters go first.
+  State.NotBefore = Now + Pause + jitter(Limits_.PrimarySilence);
+  enter(Group, State, FailoverPhase::Idle, Reason);
+}
+
+void FailoverSystem::start(const GroupEntity &Group, Attempt &State,
+                           TimePoint Now, const std::string &Reason) {
+  std::uint64_t Highest = std::max(Group.Term, State.Term);
+  for (const DatabaseId &Member : Group.Members)
+    if (const DatabaseEntity *Database = findDatabase(Data_, Member))
+      Highest = std::max(Highest, Database->Status.Term);
+  State.Term = Highest + 1;
+  State.StartedAt = Now;
+  State.Candidate.clear();
+  State.Granted.clear();
+  State.Refused.clear();
+  enter(Group.Id, State, FailoverPhase::Fencing, Reason);
+  sendFences(Group, State, Now);
+}
+
+void FailoverSystem::sendFences(const GroupEntity &Group, Attempt &State,
+                                TimePoint Now) {
+  State.SentAt = Now;
+  for (const DatabaseId &Member : Group.Members)
+    if (!State.Granted.contains(Member) && !State.Refused.contains(Member))
+      Functions_.SendControl(
+          {ControlCommand::Fence, Member, State.Term, Promoter_, {}});
+}
+
+void FailoverSystem::sendPromote(const GroupEntity &Group, Attempt &State,
+                                 TimePoint Now) {
+  // A log may win only if it is at least as advanced as those of a majority:
+  // every confirmed entry is in one of them. A leaving member is the last
+  // choice, and of equal logs that of the former primary is preferred since
+  // the replicas have most of it.
+  const auto IsSafe = [&](const DatabaseStatus &Candidate) {
+    const auto Behind = std::count_if(
+        State.Granted.begin(), State.Granted.end(), [&](const auto &Other) {
+          return logEndOf(Other.second) <= logEndOf(Candidate);
+        });
+    return static_cast<std::size_t>(Behind) >= majorityOf(Group);
+  };
+  const auto Preference = [&](const DatabaseId &Id,
+                              const DatabaseStatus &Status) {
+    const DatabaseEntity *Database = findDatabase(Data_, Id);
+    return std::tuple(Database && !Database->Leaving, logEndOf(Status),
+                      Group.Primary == Id);
+  };
+  const DatabaseId *Best = nullptr;
+  for (const auto &[Id, Status] : State.Granted)
+    if (IsSafe(Status) &&
+        (!Best ||
+         Preference(Id, Status) > Preference(*Best, State.Granted.at(*Best))))
+      Best = &Id;
+  if (!Best) {
+    giveUp(Group.Id, State, Limits_.PrimarySilence, Now,
+           "no fenced member may be promoted");
+    return;
+  }
+  State.Candidate = *Best;
+  State.SentAt = State.StartedAt = Now;
+  enter(Group.Id, State, FailoverPhase::Promoting, State.Candidate);
+  Functions_.SendControl(
+      {ControlCommand::Promote, State.Candidate, State.Term, Promoter_, {}});
+}
+
+void FailoverSystem::advance(const GroupEntity &Group, Attempt &State,
+                             TimePoint Now) {
+  if (Group.Term >= State.Term && Group.Primary) {
+    if (Group.Term == State.Term && *Group.Primary == State.Candidate)
+      complete(Group, State, Now);
+    else
+      giveUp(Group.Id, State, Duration(0), Now,
+             *Group.Primary + " is primary of term " +
+                 std::to_string(Group.Term));
+    return;
+  }
+  if (State.Phase == FailoverPhase::Waiting) {
+    // A term check of an earlier term rests on a majority, so on a member that
+    // is fenced now and reported before it was. After the validity that report
+    // counts no more.
+    if (Now >= State.MajorityAt + Limits_.TermValidity * FenceWaitTenths / 10)
+      sendPromote(Group, State, Now);
+    return;
+  }
+  if (Now - State.StartedAt >= AttemptSilences * Limits_.PrimarySilence) {
+    giveUp(Group.Id, State, Duration(0), Now, "no reply in time");
+    return;
+  }
+  if (Now - State.SentAt < Limits_.PrimarySilence / 2)
+    return;
+  if (State.Phase == FailoverPhase::Fencing) {
+    sendFences(Group, State, Now);
+    return;
+  }
+  State.SentAt = Now;
+  Functions_.SendControl(
+      {ControlCommand::Promote, State.Candidate, State.Term, Promoter_, {}});
+}
+
+void FailoverSystem::detect(const GroupEntity &Group, Attempt &State,
+                            std::size_t Rank, TimePoint Now) {
+  const Duration Silence = Limits_.PrimarySilence;
+  const auto Responding = respondingMembers(Data_, Group, Now - Silence);
+  const bool HasMajority = Responding.size() >= majorityOf(Group);
+  const DatabaseEntity *Primary =
+      Group.Primary ? findDatabase(Data_, *Group.Primary) : nullptr;
+
+  std::string Reason;
+  Duration Wait{0};
+  const auto Promised = [&](const DatabaseEntity *Member) {
+    return Member->Status.Term > Group.Term;
+  };
+  const auto Ahead = static_cast<std::size_t>(
+      std::count_if(Responding.begin(), Responding.end(), Promised));
+  const auto Unheard = [&](const DatabaseEntity *One) {
+    return One->Status.Role != DatabaseRole::Replica ||
+           One->Status.PrimaryContact + (Now - *One->StatusReceivedAt) >=
+               Silence;
+  };
+  const bool AllUnheard =
+      std::all_of(Responding.begin(), Responding.end(), Unheard);
+  if (Primary && Now - Primary->StatusReceivedAt.value_or(Now) >= Silence) {
+    Reason = "the primary does not respond";
+    Wait = AllUnheard ? Duration(0) : Silence * (UnresponsiveHalves - 2) / 2;
+  } else if (!Primary) {
+    Reason = "no primary";
+    Wait = AllUnheard ? Duration(Silence) : Silence * UnresponsiveHalves / 2;
+  } else if (Ahead >= majorityOf(Group)) {
+    Reason = "a majority has promised a term without a primary";
+    Wait = Silence;
+  } else if (Ahead > 0) {
+    Reason = "a member has promised a term without a primary";
+    Wait = Silence * StrandedSilences;
+  } else if (Primary->Leaving &&
+             std::any_of(Responding.begin(), Responding.end(),
+                         [&](const DatabaseEntity *One) {
+                           return !One->Leaving && One->Status.LogTerm ==
+                                                       Primary->Status.LogTerm;
+                         })) {
+    Reason = "the primary is leaving";
+  }
+  if (Reason.empty() || !HasMajority) {
+    State.ReasonSince.reset();
+    return;
+  }
+  if (!State.ReasonSince || State.Reason != Reason) {
+    State.ReasonSince = Now;
+    State.Reason = Reason;
+  }
+  Wait += static_cast<int>(Rank) * Silence * RankDelayHalves / 2;
+  if (Now - *State.ReasonSince < Wait ||
+      (State.NotBefore && Now < *State.NotBefore))
+    return;
+  if (Primary && Primary->Leaving)
+    State.NotBefore = Now + Silence * PlannedSilences;
+  start(Group, State, Now, Reason);
+}
+
+void FailoverSystem::sendFollow(const GroupEntity &Group,
+                                const DatabaseId &Member) {
+  const DatabaseEntity *Primary =
+      Group.Primary ? findDatabase(Data_, *Group.Primary) : nullptr;
+  if (Primary)
+    Functions_.SendControl({ControlCommand::Follow, Member, Group.Term,
+                            Promoter_, Primary->ControlAddress});
+}
+
+void FailoverSystem::repair(const GroupEntity &Group, Attempt &State,
+                            std::size_t Rank, TimePoint Now) {
+  if (!Group.Primary)
+    return;
+  const Duration Silence = Limits_.PrimarySilence;
+  for (const DatabaseEntity *Member :
+       respondingMembers(Data_, Group, Now - Silence)) {
+    const DatabaseStatus &Status = Member->Status;
+    const bool Follows =
+        Member->Id == *Group.Primary || Status.Term > Group.Term ||
+        (Status.Term == Group.Term && Status.Role == DatabaseRole::Replica);
+    if (Follows) {
+      State.FollowSentAt.erase(Member->Id);
+      continue;
+    }
+    // The first entry only notes the time, so that later ranks leave the
+    // member to the coordinator for a while.
+    const auto [Sent, Inserted] =
+        State.FollowSentAt.try_emplace(Member->Id, Now);
+    const Duration Wait =
+        Silence / 2 + static_cast<int>(Rank) * Silence * RankDelayHalves / 2;
+    if ((Inserted && Rank > 0) || (!Inserted && Now - Sent->second < Wait))
+      continue;
+    Sent->second = Now;
+    sendFollow(Group, Member->Id);
+  }
+}
+
+void FailoverSystem::pollMembers(const GroupEntity &Group, TimePoint Now) {
+  // Half of the interval while tasks are served: a report counts from the time
+  // its request was sent, so with a wait of W the last report is up to 2 W and
+  // two round trips old, and has to stay within the term's validity.
+  const Milliseconds Wait =
+      Group.Active ? Limits_.StatusInterval / 2 : Limits_.StatusInterval;
+  for (const DatabaseId &Member : Group.Members) {
+    const DatabaseEntity *Database = findDatabase(Data_, Member);
+    if (!Database)
+      continue;
+    Poll &Asked = Polls_[Member];
+    // A poll whose result never comes must not end the polling.
+    if (Asked.SentAt &&
+        Now - *Asked.SentAt >= Limits_.StatusInterval + Limits_.PrimarySilence)
+      onStatusFailed(Member, Now);
+    if (Asked.SentAt || (Asked.NextAt && Now < *Asked.NextAt))
+      continue;
+    Asked.SentAt = Now;
+    Functions_.PollStatus(
+        Member, Database->StatusSentAt ? Database->Status.Received : 0, Wait);
+  }
+}
+
+void FailoverSystem::tick(TimePoint Now) {
+  for (const auto &[Id, Group] : Data_.Groups) {
+    const std::optional<std::size_t> Rank = Owners_.coordinatorRank(Id);
+    if (!Rank && !Group.Active)
+      continue;
+    pollMembers(Group, Now);
+    Attempt &State = Attempts_[Id];
+    if (State.Phase != FailoverPhase::Idle)
+      advance(Group, State, Now);
+    else if (Rank) {
+      detect(Group, State, *Rank, Now);
+      repair(Group, State, *Rank, Now);
+    }
+  }
+  std::erase_if(Polls_, [this](const auto &Entry) {
+    return !Data_.Databases.contains(Entry.first);
+  });
+}
+
+FailoverPhase FailoverSystem::phaseOf(const GroupId &Group) const {
+  const auto Found = Attempts_.find(Group);
+  return Found == Attempts_.end() ? FailoverPhase::Idle : Found->second.Phase;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/membership.cpp
@@ -0,0 +1,203 @@
+#include "core/membership.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+/// A host that nothing has shown for this many suspicion times is dropped.
+static constexpr int ForgetFactor = 20;
+/// The host list is read less often than heartbeats are sent.
+static constexpr int StoreSilenceFactor = 4;
+/// Entries of other hosts in a heartbeat. They only introduce hosts that are
+/// absent from the list, so a slow rotation is enough.
+static constexpr std::size_t SummariesPerHeartbeat = 4;
+
+MembershipSystem::MembershipSystem(Tables &Data, const Policy &Limits,
+                                   PeerHeartbeat Self, Hooks Functions)
+    : Data_(Data), Limits_(Limits), Self_(std::move(Self)),
+      Functions_(std::move(Functions)) {}
+
+HostEntity &MembershipSystem::entityOf(const HostName &Host, TimePoint Now) {
+  HostEntity &Entity = Data_.Hosts[Host];
+  Entity.Name = Host;
+  Entity.LastShown = Now;
+  return Entity;
+}
+
+void MembershipSystem::onHostList(const std::vector<ListedHost> &List,
+                                  TimePoint Now) {
+  for (auto &[Name, Host] : Data_.Hosts)
+    Host.InList = Host.LeavingInList = false;
+  for (auto &[Name, Database] : Data_.Databases)
+    Database.LeavingInList = false;
+  for (const ListedHost &Listed : List) {
+    if (Listed.Role == "database") {
+      if (const auto Found = Data_.Databases.find(Listed.Name);
+          Found != Data_.Databases.end())
+        Found->second.LeavingInList = Listed.Leaving;
+      continue;
+    }
+    if (Listed.Role != "entry" || Listed.Name.empty())
+      continue;
+    HostEntity &Host = entityOf(Listed.Name, Now);
+    Host.InList = true;
+    // What the host says of itself is newer than the lagging list.
+    if (!Host.LastHeard) {
+      Host.Zone = Listed.Zone;
+      Host.Region = Listed.Region;
+      Host.PeerAddress = Listed.PeerAddress;
+    }
+    Host.LeavingInList = Listed.Leaving;
+  }
+  for (auto &[Name, Database] : Data_.Databases)
+    Database.Leaving = Database.LeavingInList ||
+                       (Database.StatusSentAt && Database.Status.Leaving);
+  onStoreHeard(Now);
+}
+
+void MembershipSystem::onHeartbeat(const PeerHeartbeat &Beat, TimePoint Now) {
+  if (Beat.Host.empty() || Beat.Host == Self_.Host)
+    return;
+  HostEntity &Host = entityOf(Beat.Host, Now);
+  Host.Region = Beat.Region;
+  Host.Zone = Beat.Zone;
+  Host.PeerAddress = Beat.PeerAddress;
+  Host.Incarnation = Beat.Incarnation;
+  Host.State = Beat.State;
+  Host.LastHeard = Now;
+  Host.Suspected = false;
+  Host.ConfigurationVersion = Beat.ConfigurationVersion;
+  for (const PeerSummary &Summary : Beat.Known)
+    learn(Summary, Now);
+}
+
+void MembershipSystem::learn(const PeerSummary &Summary, TimePoint Now) {
+  if (Summary.Host.empty() || Summary.Host == Self_.Host || Summary.Suspected ||
+      Summary.Age >= Limits_.Suspect)
+    return;
+  HostEntity &Host = entityOf(Summary.Host, Now);
+  if (Host.LastHeard)
+    return;
+  Host.Region = Summary.Region;
+  Host.Zone = Summary.Zone;
+  Host.PeerAddress = Summary.PeerAddress;
+}
+
+void MembershipSystem::onPeerBroken(const HostName &Host, TimePoint) {
+  if (const auto Found = Data_.Hosts.find(Host);
+      Found != Data_.Hosts.end() && Host != Self_.Host)
+    Found->second.Suspected = true;
+}
+
+void MembershipSystem::addSeed(const std::string &PeerAddress) {
+  if (PeerAddress != Self_.PeerAddress &&
+      std::find(Seeds_.begin(), Seeds_.end(), PeerAddress) == Seeds_.end())
+    Seeds_.push_back(PeerAddress);
+}
+
+void MembershipSystem::setState(HostState State) { Self_.State = State; }
+
+void MembershipSystem::setConfigurationVersion(std::uint64_t Version) {
+  Self_.ConfigurationVersion = Version;
+}
+
+bool MembershipSystem::isCutOff(TimePoint Now) const {
+  if (StoreHeard_ && Now - *StoreHeard_ <= StoreSilenceFactor * Limits_.Suspect)
+    return false;
+  // This host counts as one that is heard.
+  std::size_t Known = 1;
+  std::size_t Heard = 1;
+  for (const auto &[Name, Host] : Data_.Hosts) {
+    // A host that left by itself is no sign of a partition.
+    if (Name == Self_.Host || !Host.LastHeard ||
+        Host.State == HostState::Leaving)
+      continue;
+    ++Known;
+    if (Now - *Host.LastHeard <= Limits_.Suspect)
+      ++Heard;
+  }
+  return Heard * 2 <= Known;
+}
+
+void MembershipSystem::onStoreHeard(TimePoint Now) { StoreHeard_ = Now; }
+
+void MembershipSystem::updateSelf(TimePoint Now) {
+  HostEntity &Host = entityOf(Self_.Host, Now);
+  Host.Region = Self_.Region;
+  Host.Zone = Self_.Zone;
+  Host.PeerAddress = Self_.PeerAddress;
+  Host.Incarnation = Self_.Incarnation;
+  Host.State = Self_.State;
+  Host.LastHeard = Now;
+  Host.Suspected = false;
+  Host.ConfigurationVersion = Self_.ConfigurationVersion;
+}
+
+void MembershipSystem::suspectSilentHosts(TimePoint Now) {
+  for (auto &[Name, Host] : Data_.Hosts)
+    if (Host.LastHeard && Now - *Host.LastHeard > Limits_.Suspect)
+      Host.Suspected = true;
+}
+
+void MembershipSystem::forgetHosts(TimePoint Now) {
+  // A host that is cut off would forget the majority that it misses, and then
+  // count itself as the majority.
+  if (isCutOff(Now))
+    return;
+  std::erase_if(Data_.Hosts, [&](const auto &Entry) {
+    const HostEntity &Host = Entry.second;
+    return !Host.InList && Host.LastShown &&
+           Now - *Host.LastShown > ForgetFactor * Limits_.Suspect;
+  });
+}
+
+std::vector<PeerSummary> MembershipSystem::summarize(TimePoint Now) {
+  std::vector<PeerSummary> Summaries;
+  auto Next = Data_.Hosts.lower_bound(NextSummarized_);
+  for (std::size_t Seen = 0;
+       Seen < Data_.Hosts.size() && Summaries.size() < SummariesPerHeartbeat;
+       ++Seen) {
+    if (Next == Data_.Hosts.end())
+      Next = Data_.Hosts.begin();
+    const HostEntity &Host = (Next++)->second;
+    if (Host.Name == Self_.Host || !Host.LastHeard || Host.Suspected)
+      continue;
+    Summaries.push_back(
+        {Host.Name, Host.Incarnation, Host.Region, Host.Zone, Host.PeerAddress,
+         Host.State, Host.ConfigurationVersion,
+         std::chrono::duration_cast<Milliseconds>(Now - *Host.LastHeard),
+         Host.Suspected});
+  }
+  NextSummarized_ = Next == Data_.Hosts.end() ? HostName() : Next->first;
+  return Summaries;
+}
+
+void MembershipSystem::sendHeartbeats(TimePoint Now) {
+  std::vector<std::string> Addresses;
+  Self_.Known = summarize(Now);
+  for (const auto &[Name, Host] : Data_.Hosts) {
+    if (Name == Self_.Host || Host.PeerAddress.empty())
+      continue;
+    Addresses.push_back(Host.PeerAddress);
+    Functions_.SendHeartbeat(Host, Self_);
+  }
+  for (const std::string &Seed : Seeds_) {
+    if (std::find(Addresses.begin(), Addresses.end(), Seed) != Addresses.end())
+      continue;
+    HostEntity Unnamed;
+    Unnamed.PeerAddress = Seed;
+    Functions_.SendHeartbeat(Unnamed, Self_);
+  }
+}
+
+void MembershipSystem::tick(TimePoint Now) {
+  updateSelf(Now);
+  suspectSilentHosts(Now);
+  forgetHosts(Now);
+  if (LastBeat_ && Now - *LastBeat_ < Limits_.Heartbeat)
+    return;
+  LastBeat_ = Now;
+  sendHeartbeats(Now);
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/core/termcheck.cpp
@@ -0,0 +1,96 @@
+#include "core/termcheck.h"
+
+#include "core/freshness.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace nutmegloom {
+
+static const GroupEntity *findGroup(const Tables &Data, const GroupId &Group) {
+  const auto Found = Data.Groups.find(Group);
+  return Found == Data.Groups.end() ? nullptr : &Found->second;
+}
+
+/// Calls Visit with each member of the group that has reported a status.
+static void
+visitReported(const Tables &Data, const GroupEntity &Group,
+              const std::function<void(const DatabaseEntity &)> &Visit) {
+  for (const DatabaseId &Member : Group.Members) {
+    const auto Found = Data.Databases.find(Member);
+    if (Found != Data.Databases.end() && Found->second.StatusSentAt)
+      Visit(Found->second);
+  }
+}
+
+static bool isMajority(std::size_t Count, const GroupEntity &Group) {
+  return Count * 2 > Group.Members.size();
+}
+
+/// A member that has promised another term may already have voted for a log
+/// without its entries, and one whose log ends in another term may lose to a
+/// log that ends in a higher one. Neither counts for a confirmation.
+static bool countsUnder(const DatabaseEntity &Member, std::uint64_t Term) {
+  return Member.Status.Term == Term && Member.Status.LogTerm == Term;
+}
+
+TermCheck::TermCheck(const Tables &Data, const Policy &Limits)
+    : Data_(Data), Limits_(Limits) {}
+
+bool TermCheck::holds(const GroupId &Group, std::uint64_t Term,
+                      TimePoint Now) const {
+  const GroupEntity *Entity = findGroup(Data_, Group);
+  if (!Entity)
+    return false;
+  std::size_t Count = 0;
+  visitReported(Data_, *Entity, [&](const DatabaseEntity &Member) {
+    if (Member.Status.Term == Term &&
+        *Member.StatusSentAt >= Now - Limits_.TermValidity)
+      ++Count;
+  });
+  return isMajority(Count, *Entity);
+}
+
+bool TermCheck::isReplaced(const GroupId &Group, std::uint64_t Term) const {
+  const GroupEntity *Entity = findGroup(Data_, Group);
+  if (!Entity)
+    return false;
+  bool Replaced = Entity->Term > Term;
+  visitReported(Data_, *Entity, [&](const DatabaseEntity &Member) {
+    Replaced = Replaced || Member.Status.Term > Term;
+  });
+  return Replaced;
+}
+
+bool TermCheck::isConfirmed(const GroupId &Group, std::uint64_t Term,
+                            const Position &Wanted) const {
+  const GroupEntity *Entity = findGroup(Data_, Group);
+  if (!Entity)
+    return false;
+  std::size_t Count = 0;
+  visitReported(Data_, *Entity, [&](const DatabaseEntity &Member) {
+    const DatabaseStatus &Status = Member.Status;
+    if (countsUnder(Member, Term) &&
+        holdsPosition(Wanted, Status.LogTerm, Status.Received, Status.Terms))
+      ++Count;
+  });
+  return isMajority(Count, *Entity);
+}
+
+std::uint64_t TermCheck::confirmedIndex(const GroupId &Group) const {
+  const GroupEntity *Entity = findGroup(Data_, Group);
+  if (!Entity)
+    return 0;
+  std::vector<std::uint64_t> Received;
+  visitReported(Data_, *Entity, [&](const DatabaseEntity &Member) {
+    if (countsUnder(Member, Entity->Term))
+      Received.push_back(Member.Status.Received);
+  });
+  const std::size_t Majority = Entity->Members.size() / 2 + 1;
+  if (Received.size() < Majority)
+    return 0;
+  std::sort(Received.begin(), Received.end(), std::greater<>());
+  return Received[Majority - 1];
+}
+
+} // namespace nutmegloom
