Keep the session's unknown history in the token's partial mark

Ruled out: a zero position after an unreadable token. A replica that is behind the session's own writes would count as fresh enough.

Change: SessionGuard uses Partial and requiredPosition.

--- a/packages/protocol/sessionguard.cpp
+++ b/packages/protocol/sessionguard.cpp
@@ -1,12 +1,12 @@
 #include "protocol/sessionguard.h"
 
+#include <tuple>
+
 namespace nutmegloom {
 
-/// Entry in a session's positions that says that the session may have seen
-/// positions of groups that the token doesn't name. A session gets it when its
-/// token can't be read or when it has lost a write: a position of zero would
-/// let a replica answer with data from before the session's own writes.
-static const GroupId UnknownHistory = "*";
+static bool isLater(const Position &Left, const Position &Right) {
+  return std::tie(Left.Term, Left.Index) > std::tie(Right.Term, Right.Index);
+}
 
 SessionGuard::SessionGuard(const SessionTokenCodec &Tokens,
                            std::function<std::string()> NewIdentifier)
@@ -26,17 +26,14 @@
     View.Token = Token;
     Request.Caller = View.State.SessionId;
   } else {
+    // The session may have positions that can't be read: a position of zero
+    // would let a replica answer with data from before its own writes.
     View.State.SessionId = NewIdentifier_();
-    View.State.Positions[UnknownHistory] = {};
+    View.State.Partial = true;
   }
-  const auto &Positions = View.State.Positions;
-  auto Known = Positions.find(Request.Group);
-  if (Known != Positions.end())
-    Request.Required = Known->second;
-  else if (!Positions.contains(UnknownHistory))
-    Request.Required = Position();
-  else
-    // Without a maximum age the read goes to the primary.
+  Request.Required = requiredPosition(View.State, Request.Group);
+  // Without a maximum age the read goes to the primary.
+  if (!Request.Required)
     Request.MaximumAge.reset();
   return View;
 }
@@ -48,16 +45,15 @@
     // The session has been told. Its next read of the group goes to the
     // primary and gives it a position that exists.
     Positions.erase(Group);
-    Positions[UnknownHistory] = {};
+    View.State.Partial = true;
     return Tokens_.encode(View.State);
   }
   if (Answer.Seen && !Group.empty()) {
     Position &Known = Positions[Group];
-    if (*Answer.Seen > Known)
+    if (isLater(*Answer.Seen, Known)) {
       Known = *Answer.Seen;
-    else if (!View.Token.empty())
-      return std::move(View.Token);
-    return Tokens_.encode(View.State);
+      return Tokens_.encode(View.State);
+    }
   }
   if (!View.Token.empty())
     return std::move(View.Token);
