--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -70,7 +70,7 @@
   LogLevel Level = LogLevel::Info;
 };
 
-void useSink(LogState &State, spdlog::sink_ptr Sink) {
+void useSink(LogState &State, const spdlog::sink_ptr &Sink) {
   State.Logger = std::make_shared<spdlog::logger>("nutmegloom", Sink);
   State.Logger->set_level(spdlog::level::trace);
   State.Logger->set_formatter(std::make_unique<spdlog::pattern_formatter>(
