--- a/packages/core/engine.cpp
+++ b/packages/core/engine.cpp
@@ -26,9 +26,9 @@
 }
 
 struct Engine::State {
-  State(PeerHeartbeat Self, EngineHooks Functions)
-      : Functions(std::move(Functions)), Ownership(Data, Self.Host),
-        Terms(Data, Limits),
+  State(PeerHeartbeat Host, EngineHooks Functions)
+      : Self(std::move(Host)), Functions(std::move(Functions)),
+        Ownership(Data, Self.Host), Terms(Data, Limits),
         Membership(Data, Limits, Self, this->Functions.Membership),
         Configuration(Data, Limits, Self.Host, Self.Zone,
                       this->Functions.Configuration),
@@ -43,6 +43,7 @@
   void reviewActivity(TimePoint Now);
   void removeUnused();
 
+  PeerHeartbeat Self;
   EngineHooks Functions;
   Tables Data;
   Policy Limits;
--- a/packages/core/entrysystem.cpp
+++ b/packages/core/entrysystem.cpp
@@ -180,7 +180,7 @@
     // This attempt did not run, but an earlier one may have.
     Final.Result = Outcome::Unknown;
   }
-  finish(*Target, std::move(Final));
+  finish(*Target, Final);
 }
 
 void EntrySystem::follow(Task &Target, const CallerAnswer &Answer,
@@ -345,10 +345,8 @@
       expire(*Target);
 }
 
-void EntrySystem::finish(Task &Target, CallerAnswer Answer) {
+void EntrySystem::finish(Task &Target, const CallerAnswer &Answer) {
   const TaskId Id = Target.Id;
-  // The position belongs to the group that the database is a member of. A
-  // caller that names a transaction only doesn't name the group.
   Timers_.remove(Target.Timer, Id);
   if (Target.Attempt != 0)
     TaskOf_.erase(Target.Attempt);
--- a/packages/core/entrysystem.h
+++ b/packages/core/entrysystem.h
@@ -85,7 +85,7 @@
   void expire(Task &Target);
   void rollBack(const HostName &Owner, const std::string &Transaction,
                 const GroupId &Group, TimePoint Now);
-  void finish(Task &Target, CallerAnswer Answer);
+  void finish(Task &Target, const CallerAnswer &Answer);
 
   const Tables &Data_;
   const Policy &Limits_;
--- a/packages/core/ownerparts.cpp
+++ b/packages/core/ownerparts.cpp
@@ -1,5 +1,7 @@
 #include "core/ownerparts.h"
 
+#include "core/readjudge.h"
+
 #include <algorithm>
 
 namespace nutmegloom {
@@ -21,11 +23,6 @@
   return Deadline - std::min<Duration>(SettleReserve, (Deadline - Now) / 4);
 }
 
-Position laterOf(const std::optional<Position> &Required,
-                 const Position &Seen) {
-  return Required ? std::max(*Required, Seen) : Seen;
-}
-
 CallerAnswer makeWriteAnswer(const CallerRequest &Request,
                              const DatabaseAnswer &Answer) {
   CallerAnswer Result;
--- a/packages/core/ownerparts.h
+++ b/packages/core/ownerparts.h
@@ -29,9 +29,6 @@
 /// that the outcome can still be found.
 TimePoint settleTimeOf(TimePoint Deadline, TimePoint Now);
 
-/// Later of what the session requires and a position that it has now seen.
-Position laterOf(const std::optional<Position> &Required, const Position &Seen);
-
 /// The answer to a write or a commit that a database has executed.
 CallerAnswer makeWriteAnswer(const CallerRequest &Request,
                              const DatabaseAnswer &Answer);
--- a/packages/core/readjudge.cpp
+++ b/packages/core/readjudge.cpp
@@ -3,6 +3,7 @@
 #include "core/termcheck.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace nutmegloom {
 
@@ -14,6 +15,14 @@
   return Term;
 }
 
+Position laterOf(const std::optional<Position> &Required,
+                 const Position &Seen) {
+  if (!Required || std::tie(Required->Term, Required->Index) <
+                       std::tie(Seen.Term, Seen.Index))
+    return Seen;
+  return *Required;
+}
+
 bool isOnDiscardedBranch(const GroupEntity &Group, std::uint64_t LogTerm,
                          std::uint64_t Applied) {
   if (Group.Terms.empty() || LogTerm >= Group.Terms.back().Term)
@@ -70,9 +79,9 @@
   const std::uint64_t Index =
       std::min(Answer.Index, Terms_.confirmedIndex(Group.Id));
   const Position Read{termAt(Answer.Terms, Index), Index};
-  if (Read.Term == 0 || (Request.Required && *Request.Required >= Read))
+  if (Read.Term == 0)
     return Request.Required;
-  return Read;
+  return laterOf(Request.Required, Read);
 }
 
 } // namespace nutmegloom
--- a/packages/core/readjudge.h
+++ b/packages/core/readjudge.h
@@ -11,6 +11,9 @@
 /// Term of the log entry at the index, by the terms of its log.
 std::uint64_t termAt(const TermHistory &Terms, std::uint64_t Index);
 
+/// Later of what the session requires and a position that it has now seen.
+Position laterOf(const std::optional<Position> &Required, const Position &Seen);
+
 /// True when a log whose last term is LogTerm and that reads see up to Applied
 /// isn't part of the group's log, by the group's own term history.
 bool isOnDiscardedBranch(const GroupEntity &Group, std::uint64_t LogTerm,
--- a/packages/core/transactions.cpp
+++ b/packages/core/transactions.cpp
@@ -461,7 +461,7 @@
          makeError(Outcome::NotRun, ErrorCode::TransactionLost, Detail));
 }
 
-void TransactionSystem::endTransaction(std::string Id, bool Clean,
+void TransactionSystem::endTransaction(const std::string &Id, bool Clean,
                                        TimePoint Now) {
   const auto Found = Transactions_.find(Id);
   if (Found == Transactions_.end())
--- a/packages/core/transactions.h
+++ b/packages/core/transactions.h
@@ -81,7 +81,7 @@
   void onTimer(Step &Target, TimePoint Now);
 
   void lose(Step &Target, const std::string &Detail, TimePoint Now);
-  void endTransaction(std::string Id, bool Clean, TimePoint Now);
+  void endTransaction(const std::string &Id, bool Clean, TimePoint Now);
   void expireTransactions(TimePoint Now);
   void finish(Step &Target, const CallerAnswer &Answer);
   std::size_t countOf(const DatabaseId &Database) const;
