--- /dev/null
+++ b/packages/protocol/sessionguard.cpp
@@ -0,0 +1,63 @@
+#include "protocol/sessionguard.h"
+
+#include <tuple>
+
+namespace nutmegloom {
+
+static bool isLater(const Position &Left, const Position &Right) {
+  return std::tie(Left.Term, Left.Index) > std::tie(Right.Term, Right.Index);
+}
+
+SessionGuard::SessionGuard(const SessionTokenCodec &Tokens,
+                           std::function<std::string()> NewIdentifier)
+    : Tokens_(Tokens), NewIdentifier_(std::move(NewIdentifier)) {}
+
+SessionView SessionGuard::open(std::string_view Token,
+                               CallerRequest &Request) const {
+  SessionView View;
+  Request.Required.reset();
+  if (Token.empty()) {
+    View.State.SessionId = NewIdentifier_();
+    return View;
+  }
+  auto Decoded = Tokens_.decode(Token);
+  if (auto *State = std::get_if<SessionState>(&Decoded)) {
+    View.State = std::move(*State);
+    View.Token = Token;
+    Request.Caller = View.State.SessionId;
+  } else {
+    // The session may have positions that can't be read: a position of zero
+    // would let a replica answer with data from before its own writes.
+    View.State.SessionId = NewIdentifier_();
+    View.State.Partial = true;
+  }
+  Request.Required = requiredPosition(View.State, Request.Group);
+  // Without a maximum age the read goes to the primary.
+  if (!Request.Required)
+    Request.MaximumAge.reset();
+  return View;
+}
+
+std::string SessionGuard::close(SessionView View, const GroupId &Group,
+                                const CallerAnswer &Answer) const {
+  auto &Positions = View.State.Positions;
+  if (Answer.Error == ErrorCode::WriteLost) {
+    // The session has been told. Its next read of the group goes to the
+    // primary and gives it a position that exists.
+    Positions.erase(Group);
+    View.State.Partial = true;
+    return Tokens_.encode(View.State);
+  }
+  if (Answer.Seen && !Group.empty()) {
+    Position &Known = Positions[Group];
+    if (isLater(*Answer.Seen, Known)) {
+      Known = *Answer.Seen;
+      return Tokens_.encode(View.State);
+    }
+  }
+  if (!View.Token.empty())
+    return std::move(View.Token);
+  return Tokens_.encode(View.State);
+}
+
+} // namespace nutmegloom
