Add the stand-ins for databases and for the platform

The tests need databases with terms, logs, key records and asynchronous replication, and a platform with conditional updates, whose faults can be switched while they run. The replicated log is a class without I/O, so its rules (one promoter for each term, truncation by term history, durable promises) are tested on their own.

A replica does not refuse a read of a higher term than its own: its answer carries its position, from which the owner judges it. drop_answers applies to answers of writes, commits and key closes, in turn before and within the answer. silent takes true for the service port or a list of ports.

--- /dev/null
+++ b/testing/standindatabase/database.cpp
@@ -0,0 +1,570 @@
+#include "testing/standindatabase/database.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <random>
+
+namespace nutmegloom::testing {
+
+using nlohmann::json;
+using std::chrono::steady_clock;
+
+static constexpr std::size_t MaximumPullEntries = 1000;
+
+struct Database::Exchange {
+  HttpCall Call;
+  json Body;
+  std::string Name;
+  std::uint64_t Term = 0;
+  bool ChangesData = false;
+};
+
+static std::string makeBootName() {
+  std::random_device Source;
+  return std::to_string(Source());
+}
+
+Database::Database(boost::asio::io_context &Io, const DatabaseOptions &Options)
+    : Io_(Io), Options_(Options), Boot_(makeBootName()),
+      Log_([this](const JournalRecord &Record) { Journal_->write(Record); }),
+      Slots_(Io, Options.Slots),
+      Puller_(
+          std::make_shared<Puller>(Io, Log_, Faults_, [this] { onChange(); })) {
+  std::filesystem::create_directories(Options.DataFolder);
+  Journal_ = std::make_unique<Journal>(
+      Options.DataFolder + "/" + Options.Id + ".journal",
+      [this](const JournalRecord &Record) { Log_.restore(Record); });
+  Log_.finishRestore();
+  if (Journal_->wasEmpty())
+    Log_.initialize(Options.InitialPrimary == "self", Options.InitialPrimary);
+
+  HttpServer::Options Service;
+  Service.OnCall = [this](const HttpCall &Call) { onServiceCall(Call); };
+  Service.OnOpen = [this](std::uint64_t Session) {
+    return onServiceOpen(Session);
+  };
+  Service.OnClose = [this](std::uint64_t Session) { onServiceClose(Session); };
+  Service_ = makeHttpServer(Io, Options.ServiceAddress, std::move(Service));
+
+  HttpServer::Options Control;
+  Control.OnCall = [this](const HttpCall &Call) { onControlCall(Call); };
+  Control_ = makeHttpServer(Io, Options.ControlAddress, std::move(Control));
+}
+
+void Database::start() { Puller_->start(); }
+
+std::chrono::milliseconds Database::onServiceOpen(std::uint64_t Session) {
+  const auto Accepted =
+      std::count_if(Connections_.begin(), Connections_.end(),
+                    [](const auto &Entry) { return Entry.second; });
+  const bool WithinCap =
+      static_cast<std::size_t>(Accepted) < Options_.ConnectionCap;
+  Connections_[Session] = WithinCap;
+  if (!WithinCap) {
+    count("refused_connections");
+    return std::chrono::milliseconds(0);
+  }
+  count("accepted_connections");
+  std::uint64_t &Greatest = Counters_["greatest_connections"];
+  Greatest = std::max<std::uint64_t>(Greatest, Accepted + 1);
+  return Options_.ConnectionCost;
+}
+
+void Database::onServiceClose(std::uint64_t Session) {
+  Connections_.erase(Session);
+  std::erase_if(Transactions_, [Session](const auto &Entry) {
+    return Entry.second.Session == Session;
+  });
+}
+
+void Database::onServiceCall(const HttpCall &Call) {
+  if (Faults_.Cut.contains("service")) {
+    Call.Session->ignore();
+    return;
+  }
+  if (!Connections_[Call.Session->id()]) {
+    const json Body = {{"error", "too_many_connections"},
+                       {"term", Log_.term()}};
+    Call.Session->respond({503, Body.dump(), {}, true});
+    return;
+  }
+  const auto Work = std::make_shared<Exchange>();
+  Work->Call = Call;
+  Work->Body = json::parse(Call.Body, nullptr, false);
+  if (Call.Method != "POST" || !Work->Body.is_object()) {
+    Call.respond(400, R"({"error":"bad_request"})");
+    return;
+  }
+  Work->Name = Work->Body.value("exchange", "");
+  Work->Term = Work->Body.value("term", std::uint64_t(0));
+  Executing_.insert(Work->Name);
+
+  if (Call.Path == "/v1/statements")
+    return executeStatement(Work);
+  if (Call.Path == "/v1/transactions")
+    return begin(Work);
+  if (Call.Path == "/v1/keys/close")
+    return closeKey(Work);
+  if (Call.Path.starts_with("/v1/transactions/")) {
+    if (Call.Path.ends_with("/statements"))
+      return executeInTransaction(Work);
+    if (Call.Path.ends_with("/commit"))
+      return commit(Work);
+    if (Call.Path.ends_with("/rollback"))
+      return rollback(Work);
+  }
+  refuse(Work, 404, "not_found");
+}
+
+void Database::finish(const std::shared_ptr<Exchange> &Work,
+                      const HttpReply &Reply) {
+  Executing_.erase(Executing_.find(Work->Name));
+  if (Faults_.Cut.contains("service"))
+    Work->Call.Session->ignore();
+  else
+    Work->Call.Session->respond(Reply);
+}
+
+void Database::answer(const std::shared_ptr<Exchange> &Work, json Body) {
+  Body["exchange"] = Work->Name;
+  Body["database"] = Options_.Id;
+  Body["term"] = Log_.term();
+  const HttpReply Reply{200, Body.dump(), {}, false};
+  if (Work->ChangesData && Faults_.DropAnswers > 0) {
+    Executing_.erase(Executing_.find(Work->Name));
+    // Cuts in turn within the answer and before it.
+    const bool WithinAnswer = --Faults_.DropAnswers % 2 == 0;
+    Work->Call.Session->respondPartly(Reply, WithinAnswer ? 60 : 0);
+    return;
+  }
+  finish(Work, Reply);
+}
+
+void Database::refuse(const std::shared_ptr<Exchange> &Work, int Status,
+                      const std::string &Code, const std::string &Detail) {
+  count("refused_" + Code);
+  json Body = {
+      {"error", Code}, {"term", Log_.term()}, {"exchange", Work->Name}};
+  if (!Detail.empty())
+    Body["detail"] = Detail;
+  finish(Work, {Status, Body.dump(), {}, false});
+}
+
+static json encodeTerms(const TermHistory &Terms) {
+  json Body = json::array();
+  for (const TermStart &Start : Terms)
+    Body.push_back({{"term", Start.Term}, {"start", Start.Start}});
+  return Body;
+}
+
+json Database::describePosition(const Position &At) const {
+  return {{"log_term", At.Term},
+          {"index", At.Index},
+          {"age_ms", Puller_->age().count()},
+          {"terms", encodeTerms(Log_.terms())}};
+}
+
+void Database::executeStatement(const std::shared_ptr<Exchange> &Work) {
+  if (!Work->Body.contains("statement")) {
+    refuse(Work, 422, "statement_failed", "no statement");
+    return;
+  }
+  const auto Time =
+      Faults_.StatementTime +
+      std::chrono::milliseconds(workMilliseconds(Work->Body["statement"]));
+  // The term is checked when the statement takes effect, after its time.
+  Slots_.run(Time, [this, Work] { runStatement(Work); });
+}
+
+void Database::runStatement(const std::shared_ptr<Exchange> &Work) {
+  const bool IsWrite = Work->Body.value("kind", "read") == "write";
+  const bool Allowed =
+      IsWrite ? Log_.mayWrite(Work->Term) : Log_.mayRead(Work->Term);
+  if (!Allowed) {
+    refuse(Work, 409, "term_mismatch");
+    return;
+  }
+  Work->ChangesData = IsWrite;
+  if (IsWrite && answerFromKey(Work))
+    return;
+  StatementView View(Log_.data());
+  const auto Result = View.execute(Work->Body["statement"]);
+  if (const auto *Failed = std::get_if<StatementView::Failed>(&Result)) {
+    refuse(Work, 422, "statement_failed", Failed->Detail);
+    return;
+  }
+  LogEntry Entry;
+  Entry.Effects = View.effects();
+  if (!IsWrite && !Entry.Effects.empty()) {
+    refuse(Work, 422, "statement_failed", "a read changes data");
+    return;
+  }
+  count("executed_statements");
+  count(IsWrite ? "executed_writes" : "executed_reads");
+  Entry.Result = std::get<std::string>(Result);
+  Position At{Log_.termAt(Log_.applied()), Log_.applied()};
+  const std::string Text = Entry.Result;
+  if (IsWrite) {
+    Entry.Key = Work->Body.value("key", "");
+    Entry.Fingerprint = Work->Body.value("fingerprint", std::uint64_t(0));
+    At = Log_.append(std::move(Entry));
+  }
+  json Body = describePosition(At);
+  Body["result"] = json::parse(Text);
+  Body["replayed"] = false;
+  answer(Work, std::move(Body));
+  if (IsWrite)
+    onChange();
+}
+
+bool Database::answerFromKey(const std::shared_ptr<Exchange> &Work) {
+  const std::string Key = Work->Body.value("key", "");
+  const KeyRecord *Record = Key.empty() ? nullptr : Log_.findKey(Key);
+  if (!Record)
+    return false;
+  if (Record->Closed) {
+    refuse(Work, 409, "key_closed");
+    return true;
+  }
+  if (Record->Fingerprint !=
+      Work->Body.value("fingerprint", std::uint64_t(0))) {
+    refuse(Work, 409, "key_reused");
+    return true;
+  }
+  count("replayed");
+  json Body = describePosition(Record->At);
+  Body["result"] = json::parse(Record->Result);
+  Body["replayed"] = true;
+  answer(Work, std::move(Body));
+  return true;
+}
+
+void Database::begin(const std::shared_ptr<Exchange> &Work) {
+  if (!Log_.mayWrite(Work->Term)) {
+    refuse(Work, 409, "term_mismatch");
+    return;
+  }
+  const std::string Id = std::to_string(NextTransaction_++);
+  Transactions_.emplace(Id, Transaction{Work->Call.Session->id(), Work->Term,
+                                        StatementView(Log_.data())});
+  count("transactions");
+  answer(Work, {{"transaction", Id}});
+}
+
+Database::Transaction *
+Database::findTransaction(const std::shared_ptr<Exchange> &Work) {
+  const std::string Prefix = "/v1/transactions/";
+  const std::string Rest = Work->Call.Path.substr(Prefix.size());
+  const std::string Id = Rest.substr(0, Rest.find('/'));
+  const auto Found = Transactions_.find(Id);
+  if (Found == Transactions_.end() ||
+      Found->second.Session != Work->Call.Session->id()) {
+    refuse(Work, 409, "no_transaction");
+    return nullptr;
+  }
+  if (!Log_.mayWrite(Work->Term) || Found->second.Term != Work->Term) {
+    Transactions_.erase(Found);
+    refuse(Work, 409, "term_mismatch");
+    return nullptr;
+  }
+  return &Found->second;
+}
+
+void Database::executeInTransaction(const std::shared_ptr<Exchange> &Work) {
+  if (!Work->Body.contains("statement")) {
+    refuse(Work, 422, "statement_failed", "no statement");
+    return;
+  }
+  const auto Time =
+      Faults_.StatementTime +
+      std::chrono::milliseconds(workMilliseconds(Work->Body["statement"]));
+  Slots_.run(Time, [this, Work] {
+    Transaction *Open = findTransaction(Work);
+    if (!Open)
+      return;
+    const auto Result = Open->View.execute(Work->Body["statement"]);
+    if (const auto *Failed = std::get_if<StatementView::Failed>(&Result)) {
+      refuse(Work, 422, "statement_failed", Failed->Detail);
+      return;
+    }
+    count("executed_statements");
+    json Body = describePosition({Log_.termAt(Log_.applied()), Log_.applied()});
+    Body["result"] = json::parse(std::get<std::string>(Result));
+    answer(Work, std::move(Body));
+  });
+}
+
+void Database::commit(const std::shared_ptr<Exchange> &Work) {
+  Work->ChangesData = true;
+  if (Log_.mayWrite(Work->Term) && answerFromKey(Work))
+    return;
+  Transaction *Open = findTransaction(Work);
+  if (!Open)
+    return;
+  LogEntry Entry;
+  Entry.Key = Work->Body.value("key", "");
+  Entry.Fingerprint = Work->Body.value("fingerprint", std::uint64_t(0));
+  Entry.Effects = Open->View.effects();
+  const bool Current = Open->View.isCurrent();
+  std::erase_if(Transactions_, [Open](const auto &Candidate) {
+    return &Candidate.second == Open;
+  });
+  if (!Current) {
+    refuse(Work, 422, "statement_failed",
+           "the transaction read data that has changed since");
+    return;
+  }
+  count("commits");
+  json Body = describePosition(Log_.append(std::move(Entry)));
+  Body["result"] = nullptr;
+  Body["replayed"] = false;
+  answer(Work, std::move(Body));
+  onChange();
+}
+
+void Database::rollback(const std::shared_ptr<Exchange> &Work) {
+  Transaction *Open = findTransaction(Work);
+  if (!Open)
+    return;
+  std::erase_if(Transactions_, [Open](const auto &Candidate) {
+    return &Candidate.second == Open;
+  });
+  answer(Work, json::object());
+}
+
+void Database::closeKey(const std::shared_ptr<Exchange> &Work) {
+  if (!Log_.mayWrite(Work->Term)) {
+    refuse(Work, 409, "term_mismatch");
+    return;
+  }
+  const std::string Key = Work->Body.value("key", "");
+  if (Key.empty()) {
+    refuse(Work, 422, "statement_failed", "no key");
+    return;
+  }
+  Work->ChangesData = true;
+  count("key_closes");
+  if (const KeyRecord *Record = Log_.findKey(Key)) {
+    json Body = describePosition(Record->At);
+    Body["state"] = Record->Closed ? "closed" : "recorded";
+    Body["result"] = json::parse(Record->Result);
+    answer(Work, std::move(Body));
+    return;
+  }
+  LogEntry Entry;
+  Entry.Key = Key;
+  Entry.Closes = true;
+  json Body = describePosition(Log_.append(std::move(Entry)));
+  Body["state"] = "closed";
+  answer(Work, std::move(Body));
+  onChange();
+}
+
+void Database::onControlCall(const HttpCall &Call) {
+  count("call " + Call.Path);
+  if (Call.Path == "/faults")
+    return setFaults(Call);
+  if (Call.Path == "/counters")
+    return Call.respond(200, counters().dump());
+  const bool IsLog = Call.Path == "/v1/log";
+  if (Faults_.Cut.contains(IsLog ? "replication" : "control")) {
+    Call.Session->ignore();
+    return;
+  }
+  if (IsLog)
+    return serveLog(Call);
+  if (Call.Path == "/v1/status") {
+    const std::uint64_t After = Call.queryNumber("after");
+    waitFor(
+        Call,
+        [this, After, Term = Log_.term(), Role = Log_.role(),
+         Leaving = Faults_.Leaving] {
+          return Log_.received() > After || Log_.term() != Term ||
+                 Log_.role() != Role || Faults_.Leaving != Leaving;
+        },
+        [this, Call] {
+          if (Faults_.Cut.contains("control"))
+            Call.Session->ignore();
+          else
+            Call.respond(200, status().dump());
+        });
+    return;
+  }
+  command(Call);
+}
+
+json Database::status() const {
+  json Body = {{"database", Options_.Id},
+               {"group", Options_.Group},
+               {"boot", Boot_},
+               {"term", Log_.term()},
+               {"role", nameOf(Log_.role())},
+               {"log_term", Log_.logTerm()},
+               {"received", Log_.received()},
+               {"applied", Log_.applied()},
+               {"age_ms", Puller_->age().count()},
+               {"primary_contact_ms", Puller_->primaryContact().count()},
+               {"connections", Connections_.size()},
+               {"leaving", Faults_.Leaving},
+               {"executing", Executing_},
+               {"terms", encodeTerms(Log_.terms())}};
+  return Body;
+}
+
+void Database::waitFor(const HttpCall &Call, std::function<bool()> IsDue,
+                       std::function<void()> Answer) {
+  const std::uint64_t Wait = Call.queryNumber("wait_ms");
+  if (Wait == 0 || IsDue()) {
+    Answer();
+    return;
+  }
+  const std::uint64_t Number = NextWaiter_++;
+  auto Timer = std::make_unique<boost::asio::steady_timer>(
+      Io_, std::chrono::milliseconds(Wait));
+  Timer->async_wait([this, Number](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    const auto Found = std::find_if(
+        Waiters_.begin(), Waiters_.end(),
+        [Number](const Waiter &Entry) { return Entry.Number == Number; });
+    if (Found == Waiters_.end())
+      return;
+    const std::function<void()> Due = std::move(Found->Answer);
+    Waiters_.erase(Found);
+    Due();
+  });
+  Waiters_.push_back(
+      {Number, Call, std::move(IsDue), std::move(Answer), std::move(Timer)});
+}
+
+void Database::onChange() {
+  std::list<Waiter> Due;
+  for (auto Entry = Waiters_.begin(); Entry != Waiters_.end();) {
+    const auto Next = std::next(Entry);
+    if (Entry->IsDue())
+      Due.splice(Due.end(), Waiters_, Entry);
+    Entry = Next;
+  }
+  for (const Waiter &Entry : Due)
+    Entry.Answer();
+}
+
+void Database::command(const HttpCall &Call) {
+  const json Body = json::parse(Call.Body, nullptr, false);
+  if (Call.Method != "POST" || !Body.is_object() || !Body.contains("term")) {
+    Call.respond(400, R"({"error":"bad_request"})");
+    return;
+  }
+  const auto Term = Body["term"].get<std::uint64_t>();
+  const std::string Promoter = Body.value("promoter", "");
+  const auto State = [this] {
+    return std::make_tuple(Log_.term(), Log_.role(), Log_.primaryControl());
+  };
+  const auto Before = State();
+  bool Granted = false;
+  if (Call.Path == "/v1/fence")
+    Granted = Log_.fence(Term, Promoter);
+  else if (Call.Path == "/v1/promote")
+    Granted = Log_.promote(Term, Promoter);
+  else if (Call.Path == "/v1/follow")
+    Granted = Log_.follow(Term, Body.value("primary_control", ""));
+  else
+    return Call.respond(404, R"({"error":"not_found"})");
+  if (State() != Before) {
+    Puller_->restart();
+    onChange();
+  }
+  if (Granted)
+    Call.respond(200, status().dump());
+  else
+    Call.respond(409, json{{"error", "refused"}, {"term", Log_.term()}}.dump());
+}
+
+void Database::serveLog(const HttpCall &Call) {
+  const PullRequest Request{
+      Call.queryNumber("term"),
+      {Call.queryNumber("log_term"), Call.queryNumber("after")}};
+  const auto MayServe = [this, Request] { return Log_.mayWrite(Request.Term); };
+  waitFor(
+      Call,
+      [this, Request, MayServe] {
+        return !MayServe() || Log_.received() != Request.After.Index ||
+               Log_.logTerm() != Request.After.Term;
+      },
+      [this, Call, Request, MayServe] {
+        if (Faults_.Cut.contains("replication")) {
+          Call.Session->ignore();
+          return;
+        }
+        if (!MayServe()) {
+          Call.respond(
+              409, json{{"error", "refused"}, {"term", Log_.term()}}.dump());
+          return;
+        }
+        const PullReply Reply = Log_.serve(Request, MaximumPullEntries);
+        json Entries = json::array();
+        for (const LogEntry &Entry : Reply.Entries)
+          Entries.push_back(encodeEntry(Entry));
+        Call.respond(200, json{{"term", Reply.Term},
+                               {"conflict", Reply.Conflict},
+                               {"last", Reply.Last},
+                               {"terms", encodeTerms(Reply.Terms)},
+                               {"entries", std::move(Entries)}}
+                              .dump());
+      });
+}
+
+void Database::setFaults(const HttpCall &Call) {
+  const json Body = json::parse(Call.Body, nullptr, false);
+  if (Call.Method != "POST" || !Body.is_object()) {
+    Call.respond(400, R"({"error":"bad_request"})");
+    return;
+  }
+  try {
+    applyFaults(Body, Call.Session->id());
+  } catch (const json::exception &Error) {
+    Call.respond(400, json{{"error", Error.what()}}.dump());
+    return;
+  }
+  onChange();
+  Call.respond(200, "{}");
+}
+
+static void setTime(const json &Body, const char *Name,
+                    std::chrono::milliseconds &Value) {
+  Value = std::chrono::milliseconds(Body.value(Name, Value.count()));
+}
+
+void Database::applyFaults(const json &Body, std::uint64_t Session) {
+  setTime(Body, "replication_delay_ms", Faults_.ReplicationDelay);
+  setTime(Body, "apply_delay_ms", Faults_.ApplyDelay);
+  setTime(Body, "statement_ms", Faults_.StatementTime);
+  Faults_.Cut = Body.value("cut", Faults_.Cut);
+  Faults_.Leaving = Body.value("leaving", Faults_.Leaving);
+  Faults_.DropAnswers = Body.value("drop_answers", Faults_.DropAnswers);
+  if (!Body.contains("silent"))
+    return;
+  // True means the service port; a list names the ports.
+  std::vector<std::string> Ports;
+  if (Body["silent"].is_array())
+    Ports = Body["silent"].get<std::vector<std::string>>();
+  else if (Body["silent"].get<bool>())
+    Ports = {"service"};
+  for (const std::string &Port : Ports) {
+    if (Port == "service")
+      Service_->freezeAll(0);
+    if (Port == "control")
+      Control_->freezeAll(Session);
+  }
+}
+
+json Database::counters() const {
+  json Body = Counters_;
+  Body["connections"] = Connections_.size();
+  Body["open_transactions"] = Transactions_.size();
+  return Body;
+}
+
+} // namespace nutmegloom::testing
--- /dev/null
+++ b/testing/support/program.cpp
@@ -0,0 +1,68 @@
+#include "testing/support/program.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <popt.h>
+
+#include <charconv>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace nutmegloom::testing {
+
+static constexpr int UsageError = 2;
+
+void parseOptions(int Argc, char **Argv,
+                  const std::vector<ProgramOption> &Options) {
+  std::vector<poptOption> Table;
+  int Number = 0;
+  for (const ProgramOption &Option : Options)
+    Table.push_back({Option.Name, '\0', POPT_ARG_STRING, nullptr, ++Number,
+                     Option.Help, "VALUE"});
+  Table.push_back({nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0,
+                   "Help options:", nullptr});
+  Table.push_back({nullptr, '\0', 0, nullptr, 0, nullptr, nullptr});
+  poptContext Context = poptGetContext(
+      nullptr, Argc, const_cast<const char **>(Argv), Table.data(), 0);
+  int Found = 0;
+  while ((Found = poptGetNextOpt(Context)) > 0) {
+    char *Text = poptGetOptArg(Context);
+    *Options[static_cast<std::size_t>(Found) - 1].Value = Text ? Text : "";
+    std::free(Text);
+  }
+  if (Found < -1 || poptPeekArg(Context)) {
+    std::cerr << Argv[0] << ": "
+              << (Found < -1 ? poptBadOption(Context, 0) : poptPeekArg(Context))
+              << ": "
+              << (Found < -1 ? poptStrerror(Found) : "unexpected argument")
+              << "\n";
+    std::exit(UsageError);
+  }
+  poptFreeContext(Context);
+}
+
+std::uint64_t toNumber(const std::string &Value) {
+  std::uint64_t Number = 0;
+  const char *End = Value.data() + Value.size();
+  const auto Parsed = std::from_chars(Value.data(), End, Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End) {
+    std::cerr << "not a number: " << Value << "\n";
+    std::exit(UsageError);
+  }
+  return Number;
+}
+
+void runUntilStopped(boost::asio::io_context &Io,
+                     const std::string &ReadyLine) {
+  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  Signals.async_wait(
+      [&Io](const boost::system::error_code &, int) { Io.stop(); });
+  std::cout << ReadyLine << std::endl;
+  Io.run();
+  // Nothing is left to be done in destructors: durable state is written at
+  // once, and open connections end with the process.
+  std::quick_exit(0);
+}
+
+} // namespace nutmegloom::testing
--- /dev/null
+++ b/tests/standindatabase/replicatedlogtest.cpp
@@ -0,0 +1,258 @@
+#include "testing/standindatabase/replicatedlog.h"
+
+#include "testing/standindatabase/journal.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace nutmegloom::testing {
+
+static LogEntry writeOf(const std::string &Key, const std::string &Value) {
+  LogEntry Entry;
+  Entry.Key = "write-" + Key + Value;
+  Entry.Result = Value;
+  Entry.Effects = {{Key, Value}};
+  return Entry;
+}
+
+static void discard(const JournalRecord &) {}
+
+class ReplicatedLogTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicatedLogTest);
+  CPPUNIT_TEST(grantsATermToOnePromoterOnly);
+  CPPUNIT_TEST(refusesWritesOfAReplacedPrimary);
+  CPPUNIT_TEST(startsATermWithAnEmptyEntry);
+  CPPUNIT_TEST(truncatesADiscardedBranch);
+  CPPUNIT_TEST(truncatesABranchThatIsLongerThanTheNewLog);
+  CPPUNIT_TEST(forgetsKeysOfADiscardedBranch);
+  CPPUNIT_TEST(hidesEntriesUntilTheyAreApplied);
+  CPPUNIT_TEST(refusesEntriesOfAnotherTerm);
+  CPPUNIT_TEST(keepsPromiseLogAndKeysOverARestart);
+  CPPUNIT_TEST(dropsATornLastLine);
+  CPPUNIT_TEST_SUITE_END();
+
+  ReplicatedLog First_{discard};
+  ReplicatedLog Second_{discard};
+
+  /// First is primary of term 1, Second its replica; both hold one entry.
+  void startPair() {
+    First_.initialize(true, "");
+    Second_.initialize(false, "first");
+    First_.append(writeOf("a", "1"));
+    pull(Second_, First_);
+  }
+
+  static void pull(ReplicatedLog &Replica, const ReplicatedLog &Primary) {
+    for (;;) {
+      const PullReply Reply = Primary.serve(
+          {Replica.term(), {Replica.logTerm(), Replica.received()}}, 100);
+      if (!Reply.Conflict) {
+        CPPUNIT_ASSERT(Replica.receive(Reply.Term, Reply.Entries));
+        Replica.applyTo(Replica.received());
+        return;
+      }
+      Replica.truncateToCommon(Reply.Terms, Reply.Last);
+    }
+  }
+
+  void promoteSecond() {
+    CPPUNIT_ASSERT(Second_.fence(2, "host-a"));
+    CPPUNIT_ASSERT(Second_.promote(2, "host-a"));
+  }
+
+  // Two hosts that fence at the same time must not both promote.
+  void grantsATermToOnePromoterOnly() {
+    startPair();
+    CPPUNIT_ASSERT(Second_.fence(2, "host-a"));
+    CPPUNIT_ASSERT(Second_.fence(2, "host-a"));
+    CPPUNIT_ASSERT(!Second_.fence(2, "host-b"));
+    CPPUNIT_ASSERT(!Second_.promote(2, "host-b"));
+    CPPUNIT_ASSERT(Second_.promote(2, "host-a"));
+  }
+
+  // A primary that was fenced must not execute a late write.
+  void refusesWritesOfAReplacedPrimary() {
+    startPair();
+    CPPUNIT_ASSERT(First_.mayWrite(1));
+    CPPUNIT_ASSERT(First_.fence(2, "host-a"));
+    CPPUNIT_ASSERT(!First_.mayWrite(1));
+    CPPUNIT_ASSERT(!First_.mayWrite(2));
+    CPPUNIT_ASSERT(!First_.mayRead(1));
+  }
+
+  void startsATermWithAnEmptyEntry() {
+    startPair();
+    promoteSecond();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Second_.received());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Second_.logTerm());
+    CPPUNIT_ASSERT(Second_.terms() == (TermHistory{{1, 0}, {2, 1}}));
+  }
+
+  // Entries that only the old primary holds must vanish when it follows.
+  void truncatesADiscardedBranch() {
+    startPair();
+    First_.append(writeOf("a", "2"));
+    promoteSecond();
+    CPPUNIT_ASSERT(First_.follow(2, "second"));
+    pull(First_, Second_);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), First_.data().get("a"));
+    CPPUNIT_ASSERT(First_.terms() == Second_.terms());
+    CPPUNIT_ASSERT_EQUAL(Second_.received(), First_.received());
+  }
+
+  // The index alone would make the longer discarded branch look newer.
+  void truncatesABranchThatIsLongerThanTheNewLog() {
+    startPair();
+    for (int Count = 0; Count < 5; ++Count)
+      First_.append(writeOf("b", std::to_string(Count)));
+    promoteSecond();
+    CPPUNIT_ASSERT(First_.follow(2, "second"));
+    pull(First_, Second_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), First_.received());
+    CPPUNIT_ASSERT_EQUAL(std::string("null"), First_.data().get("b"));
+  }
+
+  // A record of a discarded write would make a repeated write look executed.
+  void forgetsKeysOfADiscardedBranch() {
+    startPair();
+    First_.append(writeOf("a", "2"));
+    CPPUNIT_ASSERT(First_.findKey("write-a2"));
+    promoteSecond();
+    CPPUNIT_ASSERT(First_.follow(2, "second"));
+    pull(First_, Second_);
+    CPPUNIT_ASSERT(!First_.findKey("write-a2"));
+    CPPUNIT_ASSERT(First_.findKey("write-a1"));
+  }
+
+  void hidesEntriesUntilTheyAreApplied() {
+    startPair();
+    First_.append(writeOf("a", "2"));
+    const PullReply Reply = First_.serve({1, {1, 1}}, 100);
+    CPPUNIT_ASSERT(Second_.receive(1, Reply.Entries));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Second_.data().get("a"));
+    Second_.applyTo(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), Second_.data().get("a"));
+  }
+
+  // A delayed reply of the old primary must not reach a fenced replica.
+  void refusesEntriesOfAnotherTerm() {
+    startPair();
+    First_.append(writeOf("a", "2"));
+    const PullReply Reply = First_.serve({1, {1, 1}}, 100);
+    CPPUNIT_ASSERT(Second_.fence(2, "host-a"));
+    CPPUNIT_ASSERT(!Second_.receive(1, Reply.Entries));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Second_.received());
+  }
+
+  static std::string journalPath(const std::string &Name) {
+    const std::string Path =
+        (std::filesystem::temp_directory_path() /
+         ("nutmegloom-" + std::to_string(getpid()) + "-" + Name))
+            .string();
+    std::filesystem::remove(Path);
+    return Path;
+  }
+
+  static void writeJournal(const std::string &Path) {
+    Journal File(Path, discard);
+    ReplicatedLog Log(
+        [&File](const JournalRecord &Record) { File.write(Record); });
+    Log.initialize(true, "");
+    Log.append(writeOf("a", "1"));
+    LogEntry Closing;
+    Closing.Key = "closed";
+    Closing.Closes = true;
+    Log.append(Closing);
+    CPPUNIT_ASSERT(Log.fence(3, "host-a"));
+  }
+
+  // A restarted database that forgot its promise could serve two primaries.
+  void keepsPromiseLogAndKeysOverARestart() {
+    const std::string Path = journalPath("restart");
+    writeJournal(Path);
+    ReplicatedLog Log(discard);
+    const Journal File(
+        Path, [&Log](const JournalRecord &Record) { Log.restore(Record); });
+    Log.finishRestore();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Log.term());
+    CPPUNIT_ASSERT(Log.role() == DatabaseRole::Fenced);
+    CPPUNIT_ASSERT(!Log.fence(3, "host-b"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Log.data().get("a"));
+    CPPUNIT_ASSERT(Log.findKey("closed") && Log.findKey("closed")->Closed);
+    CPPUNIT_ASSERT(Log.findKey("write-a1"));
+    std::filesystem::remove(Path);
+  }
+
+  // A process may be killed in the middle of a line.
+  void dropsATornLastLine() {
+    const std::string Path = journalPath("torn");
+    writeJournal(Path);
+    std::ofstream(Path, std::ios::app) << R"({"append":{"te)";
+    int Records = 0;
+    {
+      Journal File(Path, [&Records](const JournalRecord &) { ++Records; });
+      File.write(JournalRecord());
+    }
+    int Again = 0;
+    const Journal File(Path, [&Again](const JournalRecord &) { ++Again; });
+    CPPUNIT_ASSERT_EQUAL(Records + 1, Again);
+    std::filesystem::remove(Path);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicatedLogTest);
+
+class StatementViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StatementViewTest);
+  CPPUNIT_TEST(executesTheStatementLanguage);
+  CPPUNIT_TEST(changesNothingWhenAStatementFails);
+  CPPUNIT_TEST(findsAConflictingChange);
+  CPPUNIT_TEST_SUITE_END();
+
+  KeyValueStore Data_;
+
+  static std::string run(StatementView &View, const std::string &Text) {
+    return std::get<std::string>(View.execute(nlohmann::json::parse(Text)));
+  }
+
+  void executesTheStatementLanguage() {
+    Data_.set("n", "4", 1);
+    StatementView View(Data_);
+    CPPUNIT_ASSERT_EQUAL(std::string("7"),
+                         run(View, R"({"op":"add","key":"n","value":3})"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         run(View, R"({"op":"append","key":"l","value":"x"})"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"stored":false,"value":7})"),
+        run(View, R"({"op":"put_if_absent","key":"n","value":1})"));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"l":["x"],"n":7})"),
+                         run(View, R"({"op":"scan","prefix":"","limit":9})"));
+  }
+
+  void changesNothingWhenAStatementFails() {
+    Data_.set("n", "4", 1);
+    StatementView View(Data_);
+    const auto Result = View.execute(
+        nlohmann::json::parse(R"({"op":"append","key":"n","value":1})"));
+    CPPUNIT_ASSERT(std::holds_alternative<StatementView::Failed>(Result));
+    CPPUNIT_ASSERT(View.effects().empty());
+  }
+
+  // Two transactions that read the same value must not both commit.
+  void findsAConflictingChange() {
+    Data_.set("n", "4", 1);
+    StatementView View(Data_);
+    run(View, R"({"op":"add","key":"n","value":3})");
+    CPPUNIT_ASSERT(View.isCurrent());
+    Data_.set("n", "5", 2);
+    CPPUNIT_ASSERT(!View.isCurrent());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StatementViewTest);
+
+} // namespace nutmegloom::testing
