Run checks of the request path only when they can change something

The daemon calls tick after each batch of input, so whatever tick does for all tasks is paid for each request. Confirmations were checked for all waiting writes, lost exchanges and gone owners were searched for, and hosts were ranked for each attempt.

Confirmations are now checked when a status arrived for the group, and new ones once. Exchanges, connections and owners are reviewed every 20 ms, the systems outside the request path on input or every 5 ms, and ranks are kept for 20 ms. An owner that fails within that time is passed over by the task that notices it. A delay of up to 20 ms is small against the 500 ms and more that these checks wait for. The gain was not measured.

--- a/packages/core/confirmationqueue.cpp
+++ b/packages/core/confirmationqueue.cpp
@@ -9,16 +9,24 @@
 void ConfirmationQueue::add(TaskId Task, const GroupId &Group,
                             std::uint64_t Term, std::optional<Position> Wanted,
                             Handler Done) {
-  Entries_[Group].push_back(Entry{Task, Term, Wanted, std::move(Done)});
+  Waiting &Target = Groups_[Group];
+  Target.HasNewEntry = true;
+  Target.Entries.push_back(Entry{Task, Term, Wanted, std::move(Done), false});
 }
 
 void ConfirmationQueue::remove(TaskId Task, const GroupId &Group) {
-  const auto Found = Entries_.find(Group);
-  if (Found != Entries_.end())
-    std::erase_if(Found->second,
+  const auto Found = Groups_.find(Group);
+  if (Found != Groups_.end())
+    std::erase_if(Found->second.Entries,
                   [Task](const Entry &Each) { return Each.Task == Task; });
 }
 
+void ConfirmationQueue::onStatus(const GroupId &Group) {
+  const auto Found = Groups_.find(Group);
+  if (Found != Groups_.end())
+    Found->second.HasNewStatus = true;
+}
+
 bool ConfirmationQueue::isReplaced(const GroupId &Group,
                                    std::uint64_t Term) const {
   // A promised higher term alone doesn't replace the primary: the promoter may
@@ -28,22 +36,37 @@
          (Found->second.Term > Term && Found->second.Primary);
 }
 
+bool ConfirmationQueue::canEnd(const GroupId &Group, const Entry &Each,
+                               bool &Confirmed, TimePoint Now) const {
+  if (isReplaced(Group, Each.Term)) {
+    Confirmed = false;
+    return true;
+  }
+  Confirmed =
+      Terms_.holds(Group, Each.Term, Now) &&
+      (!Each.Wanted || Terms_.isConfirmed(Group, Each.Term, *Each.Wanted));
+  return Confirmed;
+}
+
 void ConfirmationQueue::check(TimePoint Now) {
   std::vector<std::pair<Handler, bool>> Ended;
-  for (auto Group = Entries_.begin(); Group != Entries_.end();) {
-    std::erase_if(Group->second, [&](Entry &Each) {
-      if (isReplaced(Group->first, Each.Term)) {
-        Ended.emplace_back(std::move(Each.Done), false);
+  for (auto Group = Groups_.begin(); Group != Groups_.end();) {
+    // Only a status can make an entry end that was checked before. To check
+    // all of them after each input would cost more than the requests.
+    Waiting &Target = Group->second;
+    if (Target.HasNewEntry || Target.HasNewStatus)
+      std::erase_if(Target.Entries, [&](Entry &Each) {
+        bool Confirmed = false;
+        if ((Each.Checked && !Target.HasNewStatus) ||
+            !canEnd(Group->first, Each, Confirmed, Now)) {
+          Each.Checked = true;
+          return false;
+        }
+        Ended.emplace_back(std::move(Each.Done), Confirmed);
         return true;
-      }
-      if (!Terms_.holds(Group->first, Each.Term, Now) ||
-          (Each.Wanted &&
-           !Terms_.isConfirmed(Group->first, Each.Term, *Each.Wanted)))
-        return false;
-      Ended.emplace_back(std::move(Each.Done), true);
-      return true;
-    });
-    Group = Group->second.empty() ? Entries_.erase(Group) : std::next(Group);
+      });
+    Target.HasNewEntry = Target.HasNewStatus = false;
+    Group = Target.Entries.empty() ? Groups_.erase(Group) : std::next(Group);
   }
   for (const auto &[Done, Confirmed] : Ended)
     Done(Confirmed, Now);
--- a/packages/core/confirmationqueue.h
+++ b/packages/core/confirmationqueue.h
@@ -27,7 +27,9 @@
            std::optional<Position> Wanted, Handler Done);
   void remove(TaskId Task, const GroupId &Group);
 
-  /// Ends what can be ended in all groups.
+  /// A status arrived that may confirm positions of the group.
+  void onStatus(const GroupId &Group);
+  /// Ends what can be ended, as far as there is something new to go by.
   void check(TimePoint Now);
 
 private:
@@ -36,13 +38,22 @@
     std::uint64_t Term = 0;
     std::optional<Position> Wanted;
     Handler Done;
+    bool Checked = false;
+  };
+  struct Waiting {
+    std::list<Entry> Entries;
+    /// An entry was added or a status arrived since the last check.
+    bool HasNewEntry = false;
+    bool HasNewStatus = false;
   };
 
+  bool canEnd(const GroupId &Group, const Entry &Each, bool &Confirmed,
+              TimePoint Now) const;
   bool isReplaced(const GroupId &Group, std::uint64_t Term) const;
 
   const Tables &Data_;
   const TermCheck &Terms_;
-  std::map<GroupId, std::list<Entry>> Entries_;
+  std::map<GroupId, Waiting> Groups_;
 };
 
 } // namespace nutmegloom
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -4,6 +4,8 @@
 
 namespace nutmegloom {
 
+/// How often connections and exchanges are checked.
+static constexpr Milliseconds ReviewInterval{20};
 /// Youngest age at which an exchange is examined for progress.
 static constexpr Milliseconds ProgressCheckAge{500};
 /// Time for which a database is avoided after it lost an exchange.
@@ -269,8 +271,7 @@
                    std::to_string(Candidate.Id)) == Executing.end();
 }
 
-void Dispatcher::tick(TimePoint Now) {
-  LastTick_ = Now;
+void Dispatcher::giveUpLost(TimePoint Now) {
   std::vector<ConnectionId> Lost;
   for (const auto &[Connection, Candidate] : Exchanges_)
     if (isLost(Candidate, Now))
@@ -290,7 +291,15 @@
     Pool_.dropIdle(Database, Found->second.SentAt);
     endExchange(Connection, Failure, false, true, Now);
   }
-  Pool_.tick(Now);
+}
+
+void Dispatcher::tick(TimePoint Now) {
+  LastTick_ = Now;
+  if (!NextReview_ || Now >= *NextReview_) {
+    NextReview_ = Now + ReviewInterval;
+    giveUpLost(Now);
+    Pool_.tick(Now);
+  }
   std::vector<DatabaseId> Databases;
   for (const auto &[Database, Target] : Members_)
     if (Target.Queue.waiting() > 0 || !Target.WantConnection.empty())
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -97,6 +97,7 @@
                    bool Executed, bool Closed, TimePoint Now);
   void freeSlot(WorkId Work, bool Executed, TimePoint Now);
   bool isLost(const Exchange &Candidate, TimePoint Now);
+  void giveUpLost(TimePoint Now);
 
   const Tables &Data_;
   const Policy &Limits_;
@@ -110,6 +111,7 @@
   WorkId LastWork_ = 0;
   ExchangeId NextExchange_;
   TimePoint LastTick_;
+  std::optional<TimePoint> NextReview_;
 };
 
 } // namespace nutmegloom
--- a/packages/core/engine.cpp
+++ b/packages/core/engine.cpp
@@ -7,6 +7,8 @@
 
 namespace nutmegloom {
 
+/// How often the systems outside the request path run without input.
+static constexpr Milliseconds ControlInterval{5};
 /// How often this host checks which groups are still in use.
 static constexpr Milliseconds ActivityInterval{1000};
 /// A group stays active for this long after its last task.
@@ -58,6 +60,10 @@
   /// Groups that the deployment no longer names.
   std::set<GroupId> Removed;
   std::optional<TimePoint> NextReview;
+  /// The systems that are not part of the request path run when they had input
+  /// and at intervals, because tick is called after each batch of requests.
+  std::optional<TimePoint> NextControl;
+  bool ControlDue = true;
   TimePoint Now;
 };
 
@@ -145,11 +151,13 @@
 
 void Engine::onStatus(const DatabaseStatus &Status, TimePoint SentAt,
                       TimePoint Now) {
+  State_->ControlDue = true;
   State_->Failover.onStatus(Status, SentAt, Now);
   State_->Owner.onStatus(Status, Now);
 }
 
 void Engine::onStatusFailed(const DatabaseId &Database, TimePoint Now) {
+  State_->ControlDue = true;
   State_->Failover.onStatusFailed(Database, Now);
 }
 
@@ -157,19 +165,32 @@
                               const DatabaseStatus &Status, TimePoint SentAt,
                               TimePoint Now) {
   State_->Failover.onControlGranted(Request, Status, SentAt, Now);
+  State_->Owner.onStatus(Status, Now);
+  State_->ControlDue = true;
 }
 
 void Engine::onControlRefused(const ControlRequest &Request, std::uint64_t Term,
                               TimePoint Now) {
+  State_->ControlDue = true;
   State_->Failover.onControlRefused(Request, Term, Now);
 }
 
 void Engine::onControlFailed(const ControlRequest &Request, TimePoint Now) {
+  State_->ControlDue = true;
   State_->Failover.onControlFailed(Request, Now);
 }
 
-MembershipSystem &Engine::membership() { return State_->Membership; }
-ConfigurationSystem &Engine::configuration() { return State_->Configuration; }
+MembershipSystem &Engine::membership() {
+  // The caller may be about to give it input.
+  State_->ControlDue = true;
+  return State_->Membership;
+}
+
+ConfigurationSystem &Engine::configuration() {
+  State_->ControlDue = true;
+  return State_->Configuration;
+}
+
 const FailoverSystem &Engine::failover() const { return State_->Failover; }
 const OwnershipSystem &Engine::ownership() const { return State_->Ownership; }
 
@@ -202,8 +223,11 @@
     Known->second.Service = Each.Service;
     Known->second.Members = Each.Members;
   }
+  for (const GroupId &Id : Removed)
+    Own.Owner.onGroupChanged(Id);
   Own.Removed = std::move(Removed);
   Own.removeUnused();
+  Own.ControlDue = true;
   Own.NextReview.reset();
   tick(Now);
 }
@@ -243,10 +267,14 @@
 void Engine::tick(TimePoint Now) {
   State &Own = *State_;
   Own.Now = Now;
-  Own.Membership.tick(Now);
-  Own.Configuration.tick(Now);
-  Own.reviewActivity(Now);
-  Own.Failover.tick(Now);
+  if (Own.ControlDue || !Own.NextControl || Now >= *Own.NextControl) {
+    Own.ControlDue = false;
+    Own.NextControl = Now + ControlInterval;
+    Own.Membership.tick(Now);
+    Own.Configuration.tick(Now);
+    Own.reviewActivity(Now);
+    Own.Failover.tick(Now);
+  }
   Own.Owner.tick(Now);
   Own.Entry.tick(Now);
 }
--- a/packages/core/entrysystem.cpp
+++ b/packages/core/entrysystem.cpp
@@ -14,6 +14,9 @@
 static constexpr TaskId AttemptBit = TaskId(1) << 63;
 /// An owner answers at the deadline; its answer needs time to arrive.
 static constexpr Milliseconds AnswerGrace{100};
+/// How often owners are ranked and checked. An owner that fails in between is
+/// passed over by the task that notices it.
+static constexpr Milliseconds ReviewInterval{20};
 static constexpr std::uint32_t MaximumRedirects = 4;
 static constexpr Milliseconds FirstPause{10};
 /// Pauses are up to this much longer, at random, so that retries of many
@@ -114,9 +117,11 @@
 }
 
 HostName EntrySystem::ownerFor(const Task &Target) const {
-  const std::vector<HostName> Owners =
-      Owners_.ownersOf(Target.Request.Group, Target.Region);
-  for (const HostName &Host : Owners)
+  const auto [Owners, Inserted] =
+      Ranked_.try_emplace({Target.Request.Group, Target.Region});
+  if (Inserted)
+    Owners->second = Owners_.ownersOf(Target.Request.Group, Target.Region);
+  for (const HostName &Host : Owners->second)
     if (!Target.Failed.contains(Host))
       return Host;
   // All have failed once, or no host is known to be live. Any host can serve
@@ -333,7 +338,11 @@
 }
 
 void EntrySystem::tick(TimePoint Now) {
-  onOwnersGone(Now);
+  if (!NextReview_ || Now >= *NextReview_) {
+    NextReview_ = Now + ReviewInterval;
+    Ranked_.clear();
+    onOwnersGone(Now);
+  }
   while (const auto Due = Retries_.takeDue(Now)) {
     Task *Target = find(*Due);
     if (Target != nullptr && Target->Attempt == 0 && Target->RetryAt &&
--- a/packages/core/entrysystem.h
+++ b/packages/core/entrysystem.h
@@ -101,6 +101,10 @@
   Deadlines Retries_;
   /// Region of each group's primary, as last learnt from a redirect.
   std::map<GroupId, RegionName> PrimaryRegion_;
+  /// Owners in order of rank, kept for a short time.
+  mutable std::map<std::pair<GroupId, RegionName>, std::vector<HostName>>
+      Ranked_;
+  std::optional<TimePoint> NextReview_;
   TaskId LastAttempt_;
   bool Draining_ = false;
 };
--- a/packages/core/ownersystem.cpp
+++ b/packages/core/ownersystem.cpp
@@ -609,6 +609,12 @@
 
 void OwnerSystem::onStatus(const DatabaseStatus &Status, TimePoint Now) {
   Choice_.observe(Status.Database, Status.LogTerm, Status.Applied, Now);
+  if (const DatabaseEntity *Database = Access_.findDatabase(Status.Database))
+    onGroupChanged(Database->Group);
+}
+
+void OwnerSystem::onGroupChanged(const GroupId &Group) {
+  Confirmations_.onStatus(Group);
 }
 
 void OwnerSystem::tick(TimePoint Now) {
--- a/packages/core/ownersystem.h
+++ b/packages/core/ownersystem.h
@@ -43,6 +43,8 @@
   void onDatabaseFailure(ConnectionId Connection,
                          const DatabaseFailure &Failure, TimePoint Now);
   void onStatus(const DatabaseStatus &Status, TimePoint Now);
+  /// A group was removed or its primary changed without a status.
+  void onGroupChanged(const GroupId &Group);
 
   void tick(TimePoint Now);
   /// Refuses new transactions, so that their callers begin them elsewhere.
