Add the daemon

Change: nutmegloomd wires the engine to the callers' HTTP server, the connections to databases, the peer network, the platform and the settings.

A transaction id of the engine names its group, so the codec reads it from there instead of adding the group a second time.

Ruled out: putting a deployment in force from inside the hook that applies a configuration, because the engine is then in the middle of an input.

The program is left out of the build until peernetwork.cpp is there.

--- /dev/null
+++ b/packages/nutmegloomd/peerlinks.h
@@ -0,0 +1,51 @@
+#ifndef NUTMEGLOOM_NUTMEGLOOMD_PEERLINKS_H
+#define NUTMEGLOOM_NUTMEGLOOMD_PEERLINKS_H
+
+#include "nutmegloomd/hostcontext.h"
+#include "protocol/peernetwork.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace nutmegloom {
+
+/// Exchanges with other hosts: tasks in both directions, heartbeats and the
+/// configuration.
+class PeerLinks {
+public:
+  PeerLinks(HostContext &Context, const std::string &ListenAddress);
+
+  std::variant<std::string, PeerNetwork::Failure> listen();
+  void stop();
+
+  void forward(const HostName &Host, TaskId Task, const CallerRequest &Request);
+  void sendHeartbeat(const HostEntity &Host, const PeerHeartbeat &Beat);
+  void fetchConfiguration(const HostName &Host);
+
+  /// Answers the task if it is one of another host.
+  bool answer(TaskId Task, const CallerAnswer &Answer);
+  /// Tasks of other hosts in progress.
+  std::size_t inProgress() const { return Served_.size(); }
+
+private:
+  struct ServedTask {
+    PeerNetwork::AnswerFunction Answer;
+    TraceSpan Span;
+  };
+
+  std::function<void()> execute(const CallerRequest &Request,
+                                PeerNetwork::AnswerFunction Answer);
+  void
+  onHeartbeatReply(const HostEntity &Host,
+                   std::variant<PeerHeartbeat, PeerNetwork::Failure> Reply);
+  std::string addressOf(const HostName &Host) const;
+
+  HostContext &Context_;
+  std::shared_ptr<PeerNetwork> Network_;
+  std::unordered_map<TaskId, ServedTask> Served_;
+  std::set<std::string> Unreachable_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_NUTMEGLOOMD_PEERLINKS_H
--- /dev/null
+++ b/packages/nutmegloomd/platformwatch.cpp
@@ -0,0 +1,78 @@
+#include "nutmegloomd/platformwatch.h"
+
+#include "telemetry/events.h"
+
+namespace nutmegloom {
+
+static constexpr Milliseconds ListInterval{1000};
+/// Added to the interval for each known host, so that a large fleet together
+/// stays below half of the platform's 2,000 reads a second.
+static constexpr std::chrono::microseconds ListIntervalPerHost{1000};
+static constexpr Milliseconds WatchWait{5000};
+static constexpr Milliseconds CallTimeout{2000};
+
+PlatformWatch::PlatformWatch(HostContext &Context, const std::string &Address)
+    : Context_(Context),
+      Client_(makePlatformClient(Context.Io, Address, CallTimeout)) {}
+
+void PlatformWatch::tick(TimePoint Now) {
+  if (ListInProgress_ || (NextList_ && Now < *NextList_))
+    return;
+  ListInProgress_ = true;
+  // At least ListInterval, and no more in a small fleet.
+  Duration Share = ListIntervalPerHost * Context_.Core->tables().Hosts.size();
+  NextList_ = Now + std::max<Duration>(ListInterval, Share);
+  Client_->listHosts(
+      [this](std::variant<std::vector<ListedHost>, PlatformError> List) {
+        onList(List);
+      });
+}
+
+void PlatformWatch::onList(
+    const std::variant<std::vector<ListedHost>, PlatformError> &List) {
+  ListInProgress_ = false;
+  if (const auto *Hosts = std::get_if<std::vector<ListedHost>>(&List)) {
+    Context_.Measures.countControl("host_list",
+                                   Hosts->size() * sizeof(ListedHost));
+    Context_.Core->membership().onHostList(*Hosts, currentTime());
+    if (std::exchange(ListFails_, false))
+      logEvent(LogEvent::HostListReached, {});
+  } else if (!std::exchange(ListFails_, true)) {
+    logEvent(LogEvent::HostListUnreachable,
+             {{"error", nameOf(std::get<PlatformError>(List))}});
+  }
+  Context_.ScheduleTick();
+}
+
+void PlatformWatch::watchHead(std::uint64_t After) {
+  Client_->watch("configuration", "head", After, WatchWait,
+                 [this](std::variant<PlatformObject, PlatformError> Head) {
+                   onHead(Head);
+                 });
+}
+
+void PlatformWatch::onHead(
+    const std::variant<PlatformObject, PlatformError> &Head) {
+  TimePoint Now = currentTime();
+  ConfigurationSystem &Configuration = Context_.Core->configuration();
+  const auto *Error = std::get_if<PlatformError>(&Head);
+  if (Error && *Error != PlatformError::Unchanged) {
+    if (!std::exchange(StoreFails_, true))
+      logEvent(LogEvent::StoreUnreachable, {{"error", nameOf(*Error)}});
+    Configuration.onStoreFailed(Now);
+    Context_.ScheduleTick();
+    return;
+  }
+  if (std::exchange(StoreFails_, false))
+    logEvent(LogEvent::StoreReached, {});
+  Context_.Core->membership().onStoreHeard(Now);
+  if (const auto *Object = std::get_if<PlatformObject>(&Head)) {
+    Context_.Measures.countControl("configuration", Object->Value.size());
+    Configuration.onStoreConfiguration(Object->Version, Object->Value, Now);
+  } else {
+    Configuration.onStoreUnchanged(Now);
+  }
+  Context_.ScheduleTick();
+}
+
+} // namespace nutmegloom
--- a/packages/protocol/callercodec.cpp
+++ b/packages/protocol/callercodec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/callercodec.h"
 
+#include "core/transactionid.h"
 #include "protocol/jsontext.h"
 
 #include <nlohmann/json.hpp>
@@ -251,22 +252,6 @@
                      [](char C) { return C >= '0' && C <= '9'; });
 }
 
-/// Splits a transaction id as made by encodeTransactionId.
-bool readTransactionId(std::string_view Text, Route &Found) {
-  std::size_t Number = Text.rfind('~');
-  if (Number == std::string_view::npos || Number == 0 ||
-      !isNumber(Text.substr(Number + 1)))
-    return false;
-  std::size_t Service = Text.rfind('~', Number - 1);
-  if (Service == std::string_view::npos || Service == 0 ||
-      Service + 1 == Number)
-    return false;
-  Found.Transaction = Text.substr(0, Service);
-  Found.Group = std::string(Text.substr(Service + 1, Number - Service - 1)) +
-                "/" + std::string(Text.substr(Number + 1));
-  return true;
-}
-
 std::variant<Route, Problem> parseTarget(std::string_view Target) {
   Target = Target.substr(0, Target.find('?'));
   std::array<std::string_view, 4> Parts;
@@ -292,9 +277,12 @@
       Found.Step = RequestStep::Rollback;
     else
       return Unknown;
-    if (!readTransactionId(Parts[2], Found))
+    std::optional<TransactionIdParts> Id = parseTransactionId(Parts[2]);
+    if (!Id)
       return Problem{ErrorCode::TransactionLost, Outcome::NotRun,
                      "the transaction id was not made by this service"};
+    Found.Transaction = Parts[2];
+    Found.Group = std::move(Id->Group);
     return Found;
   }
   if (Parts[1].empty() || !isNumber(Parts[2]))
@@ -424,8 +412,7 @@
   std::string &Body = Response.Body;
   if (Request.Step == RequestStep::Begin) {
     Body += R"({"transaction":)";
-    appendJsonString(Body,
-                     encodeTransactionId(Answer.Transaction, Request.Group));
+    appendJsonString(Body, Answer.Transaction);
     auto Left =
         std::chrono::duration_cast<Milliseconds>(Request.Deadline - Now);
     appendMember(
@@ -460,14 +447,6 @@
   return Response;
 }
 
-std::string encodeTransactionId(const std::string &Id, const GroupId &Group) {
-  std::string Text = Id + "~" + Group;
-  std::size_t Slash = Text.rfind('/');
-  if (Slash != std::string::npos)
-    Text[Slash] = '~';
-  return Text;
-}
-
 std::optional<std::uint64_t> shapeOf(std::string_view Statement) {
   BodyReader Reader;
   if (!Reader.read(Statement, true))
--- a/packages/protocol/callercodec.h
+++ b/packages/protocol/callercodec.h
@@ -37,10 +37,6 @@
 HttpResponse makeCallerResponse(const CallerRequest &Request,
                                 const CallerAnswer &Answer, TimePoint Now);
 
-/// Transaction id for callers: the engine's id with its group, since the path
-/// of a step doesn't name the group.
-std::string encodeTransactionId(const std::string &Id, const GroupId &Group);
-
 /// Hash of a statement's shape: its JSON keys, its structure and the string
 /// value of the member "op". Nothing when the text isn't a JSON object.
 std::optional<std::uint64_t> shapeOf(std::string_view Statement);
