--- a/packages/nutmegloomd/platformwatch.cpp
+++ b/packages/nutmegloomd/platformwatch.cpp
@@ -23,7 +23,7 @@
   Duration Share = ListIntervalPerHost * Context_.Core->tables().Hosts.size();
   NextList_ = Now + std::max<Duration>(ListInterval, Share);
   Client_->listHosts(
-      [this](std::variant<std::vector<ListedHost>, PlatformError> List) {
+      [this](const std::variant<std::vector<ListedHost>, PlatformError> &List) {
         onList(List);
       });
 }
@@ -45,10 +45,11 @@
 }
 
 void PlatformWatch::watchHead(std::uint64_t After) {
-  Client_->watch("configuration", "head", After, WatchWait,
-                 [this](std::variant<PlatformObject, PlatformError> Head) {
-                   onHead(Head);
-                 });
+  Client_->watch(
+      "configuration", "head", After, WatchWait,
+      [this](const std::variant<PlatformObject, PlatformError> &Head) {
+        onHead(Head);
+      });
 }
 
 void PlatformWatch::onHead(
--- a/packages/protocol/sessionguard.cpp
+++ b/packages/protocol/sessionguard.cpp
@@ -16,10 +16,8 @@
                                CallerRequest &Request) const {
   SessionView View;
   Request.Required.reset();
-  if (Token.empty()) {
-    View.State.SessionId = NewIdentifier_();
+  if (Token.empty())
     return View;
-  }
   auto Decoded = Tokens_.decode(Token);
   if (auto *State = std::get_if<SessionState>(&Decoded)) {
     View.State = std::move(*State);
@@ -28,7 +26,6 @@
   } else {
     // The session may have positions that can't be read: a position of zero
     // would let a replica answer with data from before its own writes.
-    View.State.SessionId = NewIdentifier_();
     View.State.Partial = true;
   }
   Request.Required = requiredPosition(View.State, Request.Group);
@@ -38,6 +35,14 @@
   return View;
 }
 
+std::string SessionGuard::encode(SessionState &State) const {
+  // Made here and not before, because a request without a token may get none
+  // either, for example when it is refused; randomness is not cheap.
+  if (State.SessionId.empty())
+    State.SessionId = NewIdentifier_();
+  return Tokens_.encode(State);
+}
+
 std::string SessionGuard::close(SessionView View, const GroupId &Group,
                                 const CallerAnswer &Answer) const {
   auto &Positions = View.State.Positions;
@@ -46,18 +51,18 @@
     // primary and gives it a position that exists.
     Positions.erase(Group);
     View.State.Partial = true;
-    return Tokens_.encode(View.State);
+    return encode(View.State);
   }
-  if (Answer.Seen && !Group.empty()) {
-    Position &Known = Positions[Group];
-    if (isLater(*Answer.Seen, Known)) {
-      Known = *Answer.Seen;
-      return Tokens_.encode(View.State);
-    }
-  }
-  if (!View.Token.empty())
+  // Without a new position the old token stays as it is, so an answer such as
+  // a refusal costs no MAC.
+  if (!Answer.Seen || Group.empty())
+    return std::move(View.Token);
+  Position &Known = Positions[Group];
+  if (!isLater(*Answer.Seen, Known) && !View.Token.empty())
     return std::move(View.Token);
-  return Tokens_.encode(View.State);
+  if (isLater(*Answer.Seen, Known))
+    Known = *Answer.Seen;
+  return encode(View.State);
 }
 
 } // namespace nutmegloom
--- a/packages/protocol/sessionguard.h
+++ b/packages/protocol/sessionguard.h
@@ -29,6 +29,8 @@
                     const CallerAnswer &Answer) const;
 
 private:
+  std::string encode(SessionState &State) const;
+
   const SessionTokenCodec &Tokens_;
   std::function<std::string()> NewIdentifier_;
 };
--- a/tests/protocol/httpservertest.cpp
+++ b/tests/protocol/httpservertest.cpp
@@ -163,16 +163,17 @@
   /// read in different ways (request smuggling).
   void refusesMalformedInput() {
     RunningServer Server;
-    const std::string Post = "POST / HTTP/1.1\r\n";
-    const std::string Chunked = "Transfer-Encoding: chunked\r\n";
     for (const std::string &Input :
          {std::string("nonsense\r\n\r\n"),
           std::string("GET / HTTP/9.9\r\n\r\n"),
           std::string("GET / HTTP/1.1\r\nno colon\r\n\r\n"),
-          Post + "Content-Length: -1\r\n\r\n",
-          Post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
-          Post + "Content-Length: 5\r\n" + Chunked + "\r\n0\r\n\r\n",
-          Post + Chunked + "\r\nzz\r\n"}) {
+          std::string("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+                      "Content-Length: 2\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                      "\r\nzz\r\n")}) {
       Client Caller(Server);
       Caller.send(Input);
       checkProblem(Caller.readToEnd(), "400", "bad_request");
--- a/tests/protocol/sessionguardtest.cpp
+++ b/tests/protocol/sessionguardtest.cpp
@@ -29,16 +29,17 @@
     SessionView First = Guard_.open("", Request);
     CPPUNIT_ASSERT(!Request.Required);
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1"), Request.Caller);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Guard_.close(First, "s/0", {}));
     std::string Token = Guard_.close(First, "s/0", answerAt(2, 7));
 
     SessionView Second = Guard_.open(Token, Request);
-    CPPUNIT_ASSERT(Request.Required == Position(2, 7));
+    CPPUNIT_ASSERT((Request.Required == Position{2, 7}));
     CPPUNIT_ASSERT_EQUAL(std::string("new"), Request.Caller);
     CPPUNIT_ASSERT_EQUAL(Token, Guard_.close(Second, "s/0", answerAt(2, 6)));
     CPPUNIT_ASSERT_EQUAL(Token, Guard_.close(Second, "s/0", {}));
     Token = Guard_.close(Second, "s/0", answerAt(3, 1));
     Guard_.open(Token, Request);
-    CPPUNIT_ASSERT(Request.Required == Position(3, 1));
+    CPPUNIT_ASSERT((Request.Required == Position{3, 1}));
     Request.Group = "s/1";
     Guard_.open(Token, Request);
     CPPUNIT_ASSERT(Request.Required == Position());
