Read database answers in one pass and count waiting work

Cause: a profile of a host under single reads shows that decodeDatabaseAnswer takes 10% of its time: it builds a tree of the response and writes the result as text again. That also changed the result: 1.50 came back as 1.5, a long integer lost digits and keys changed their order.

Ruled out: a second scan of the text for the result, and the parser callback of the library, which gives no end of a value that it leaves out.

Change: a SAX reader takes the fields and keeps the text of the result. A field with an unexpected type, a field that occurs twice and an incomplete entry of "terms" now make a response malformed. Engine::waitingIn gives the metric nutmegloom_group_waiting_requests and the status page their figure.

--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -312,6 +312,11 @@
   return memberOf(Database).Queue.expectedWait(Shape, LastTick_);
 }
 
+std::size_t Dispatcher::waitingAt(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found == Members_.end() ? 0 : Found->second.Queue.waiting();
+}
+
 bool Dispatcher::isUnresponsive(const DatabaseId &Database) const {
   const auto Found = Members_.find(Database);
   return Found != Members_.end() && Found->second.LostAt &&
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -82,6 +82,8 @@
 
   /// Time that work of the shape would wait, as of the last tick.
   Milliseconds expectedWait(const DatabaseId &Database, std::uint64_t Shape);
+  /// Work in the database's queue.
+  std::size_t waitingAt(const DatabaseId &Database) const;
   const ConnectionPool &pool() const { return Pool_; }
   /// True when an exchange of the database was lost a short time ago.
   bool isUnresponsive(const DatabaseId &Database) const;
--- a/packages/core/engine.cpp
+++ b/packages/core/engine.cpp
@@ -265,5 +265,8 @@
 const Tables &Engine::tables() const { return State_->Data; }
 const Policy &Engine::policy() const { return State_->Limits; }
 const EngineCounters &Engine::counters() const { return State_->Counters; }
+std::size_t Engine::waitingIn(const GroupEntity &Group) const {
+  return State_->Owner.waitingIn(Group);
+}
 
 } // namespace nutmegloom
--- a/packages/core/engine.h
+++ b/packages/core/engine.h
@@ -114,6 +114,8 @@
   const Tables &tables() const;
   const Policy &policy() const;
   const EngineCounters &counters() const;
+  /// Work of the group that waits on this host as its owner.
+  std::size_t waitingIn(const GroupEntity &Group) const;
 
 private:
   struct State;
--- a/packages/core/ownersystem.cpp
+++ b/packages/core/ownersystem.cpp
@@ -640,6 +640,14 @@
   return Tasks_.empty() && Transactions_.isIdle();
 }
 
+std::size_t OwnerSystem::waitingIn(const GroupEntity &Group) const {
+  const auto Found = Waiting_.find(Group.Id);
+  std::size_t Count = Found == Waiting_.end() ? 0 : Found->second.size();
+  for (const DatabaseId &Member : Group.Members)
+    Count += Databases_.waitingAt(Member);
+  return Count;
+}
+
 bool OwnerSystem::isInUse(const GroupId &Group) const {
   return Transactions_.isInUse(Group) ||
          std::any_of(Tasks_.begin(), Tasks_.end(), [&](const auto &Entry) {
--- a/packages/core/ownersystem.h
+++ b/packages/core/ownersystem.h
@@ -50,6 +50,8 @@
   bool isIdle() const;
   /// True when work of the group is in progress here.
   bool isInUse(const GroupId &Group) const;
+  /// Work that waits for a primary or in the queue of a database.
+  std::size_t waitingIn(const GroupEntity &Group) const;
 
 private:
   struct Task {
--- a/packages/nutmegloomd/daemon.cpp
+++ b/packages/nutmegloomd/daemon.cpp
@@ -236,8 +236,8 @@
   Snapshot.RequestsTimedOut = Counters.TimedOut;
   Snapshot.CallersGone = Counters.CallersGone;
   for (const auto &[Id, Group] : Core_->tables().Groups)
-    Snapshot.Groups.push_back(
-        {Id, Group.Term, Group.Primary.has_value(), Group.Active});
+    Snapshot.Groups.push_back({Id, Group.Term, Group.Primary.has_value(),
+                               Group.Active, Core_->waitingIn(Group)});
   for (const auto &[Id, Database] : Core_->tables().Databases)
     if (Database.StatusSentAt)
       Snapshot.Databases.push_back(
--- a/packages/nutmegloomd/statuspage.cpp
+++ b/packages/nutmegloomd/statuspage.cpp
@@ -35,7 +35,8 @@
              {"term", Group.Term},
              {"primary", nullptr},
              {"phase", nameOf(Core.failover().phaseOf(Group.Id))},
-             {"active", Group.Active}};
+             {"active", Group.Active},
+             {"waiting", Core.waitingIn(Group)}};
   if (Group.Primary)
     Entry["primary"] = *Group.Primary;
   Json Members = Json::array();
--- a/packages/protocol/callercodec.cpp
+++ b/packages/protocol/callercodec.cpp
@@ -33,32 +33,6 @@
     {Member::Class, "class"},
 }};
 
-/// Iterator over text that tells others how far the lexer has read.
-struct CountingIterator {
-  using iterator_category = std::input_iterator_tag;
-  using value_type = char;
-  using difference_type = std::ptrdiff_t;
-  using pointer = const char *;
-  using reference = const char &;
-
-  const char *At = nullptr;
-  const char **Shared = nullptr;
-
-  reference operator*() const { return *At; }
-  CountingIterator &operator++() {
-    *Shared = ++At;
-    return *this;
-  }
-  CountingIterator operator++(int) {
-    CountingIterator Before = *this;
-    ++*this;
-    return Before;
-  }
-  bool operator==(const CountingIterator &Other) const {
-    return At == Other.At;
-  }
-};
-
 /// Hash of a sequence of keys and marks of structure.
 class ShapeHash {
 public:
--- a/packages/protocol/databasecodec.cpp
+++ b/packages/protocol/databasecodec.cpp
@@ -1,7 +1,10 @@
 #include "protocol/databasecodec.h"
 
+#include "protocol/jsontext.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace nutmegloom {
@@ -24,6 +27,244 @@
     {"no_transaction", DatabaseFailureKind::NoTransaction},
 }};
 
+enum class AnswerField {
+  Other,
+  Exchange,
+  Database,
+  Term,
+  LogTerm,
+  Index,
+  Result,
+  Replayed,
+  Age,
+  Terms,
+  Transaction,
+  State,
+  Error,
+  Detail,
+};
+struct AnswerFieldName {
+  std::string_view Name;
+  AnswerField Field;
+};
+constexpr std::array<AnswerFieldName, 13> AnswerFieldNames{{
+    {"exchange", AnswerField::Exchange},
+    {"database", AnswerField::Database},
+    {"term", AnswerField::Term},
+    {"log_term", AnswerField::LogTerm},
+    {"index", AnswerField::Index},
+    {"result", AnswerField::Result},
+    {"replayed", AnswerField::Replayed},
+    {"age_ms", AnswerField::Age},
+    {"terms", AnswerField::Terms},
+    {"transaction", AnswerField::Transaction},
+    {"state", AnswerField::State},
+    {"error", AnswerField::Error},
+    {"detail", AnswerField::Detail},
+}};
+
+/// Reads a response in one pass without a tree. The result stays the text that
+/// the database sent: a number isn't rounded and no key changes its place.
+/// Fields with an unexpected type make the response malformed.
+class AnswerReader {
+public:
+  // The names of these functions are those of nlohmann's SAX interface.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using number_integer_t = json::number_integer_t;
+  using number_unsigned_t = json::number_unsigned_t;
+  using number_float_t = json::number_float_t;
+  using string_t = json::string_t;
+  using binary_t = json::binary_t;
+
+  bool null() { return scalar(0); }
+  bool boolean(bool Value) {
+    if (Depth_ == 1 && Current_ == AnswerField::Replayed) {
+      Answer.Replayed = Value;
+      return true;
+    }
+    return scalar(0);
+  }
+  bool number_integer(number_integer_t /*Value*/) { return scalar(1); }
+  bool number_float(number_float_t /*Value*/, const string_t & /*Text*/) {
+    return scalar(1);
+  }
+  bool number_unsigned(number_unsigned_t Value);
+  bool string(string_t &Value);
+  bool binary(binary_t & /*Value*/) { return scalar(0); }
+  bool start_object(std::size_t /*Size*/) { return open(); }
+  bool start_array(std::size_t /*Size*/) {
+    return open() && (Depth_ > 1 || fail("the response is not an object"));
+  }
+  bool key(string_t &Name);
+  bool end_object() { return close(); }
+  bool end_array() { return close(); }
+  bool parse_error(std::size_t Offset, const std::string & /*Token*/,
+                   const json::exception & /*Error*/) {
+    return fail("the response is not valid JSON at byte " +
+                std::to_string(Offset));
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+  bool read(const std::string &Text) {
+    Cursor_ = Text.data();
+    return json::sax_parse(
+        CountingIterator{Text.data(), &Cursor_},
+        CountingIterator{Text.data() + Text.size(), &Cursor_}, this);
+  }
+  bool has(AnswerField Field) const {
+    return (Seen_ & (1U << static_cast<unsigned>(Field))) != 0;
+  }
+
+  DatabaseAnswer Answer;
+  std::string Exchange;
+  std::string State;
+  std::string Error;
+  std::string Detail;
+  std::string Failure;
+
+private:
+  bool fail(std::string Reason) {
+    if (Failure.empty())
+      Failure = std::move(Reason);
+    return false;
+  }
+  /// A value that no field takes. Ahead is 1 after a number, which the lexer
+  /// ends by reading the next character.
+  bool scalar(std::ptrdiff_t Ahead);
+  bool open();
+  bool close();
+
+  const char *Cursor_ = nullptr;
+  const char *ResultBegin_ = nullptr;
+  AnswerField Current_ = AnswerField::Other;
+  bool InTermStart_ = false;
+  /// Numbers of the current entry of the terms.
+  unsigned TermNumbers_ = 0;
+  unsigned Seen_ = 0;
+  std::size_t Depth_ = 0;
+};
+
+bool AnswerReader::scalar(std::ptrdiff_t Ahead) {
+  if (Depth_ == 0)
+    return fail("the response is not an object");
+  if (Current_ == AnswerField::Result) {
+    if (Depth_ == 1)
+      Answer.Result.assign(ResultBegin_, Cursor_ - Ahead);
+    return true;
+  }
+  return Current_ == AnswerField::Other ||
+         fail("a field of the response has an unexpected type");
+}
+
+bool AnswerReader::number_unsigned(number_unsigned_t Value) {
+  if (Current_ == AnswerField::Terms && Depth_ == 3) {
+    TermStart &Last = Answer.Terms.back();
+    (InTermStart_ ? Last.Start : Last.Term) = Value;
+    ++TermNumbers_;
+    return true;
+  }
+  if (Depth_ == 1) {
+    switch (Current_) {
+    case AnswerField::Term:
+      Answer.Term = Value;
+      return true;
+    case AnswerField::LogTerm:
+      Answer.LogTerm = Value;
+      return true;
+    case AnswerField::Index:
+      Answer.Index = Value;
+      return true;
+    case AnswerField::Age:
+      Answer.Age = Milliseconds(Value);
+      return true;
+    default:
+      break;
+    }
+  }
+  return scalar(1);
+}
+
+bool AnswerReader::string(string_t &Value) {
+  if (Depth_ == 1) {
+    switch (Current_) {
+    case AnswerField::Exchange:
+      Exchange = Value;
+      return true;
+    case AnswerField::Database:
+      Answer.Database = Value;
+      return true;
+    case AnswerField::Transaction:
+      Answer.Transaction = Value;
+      return true;
+    case AnswerField::State:
+      State = Value;
+      return true;
+    case AnswerField::Error:
+      Error = Value;
+      return true;
+    case AnswerField::Detail:
+      Detail = Value;
+      return true;
+    default:
+      break;
+    }
+  }
+  return scalar(0);
+}
+
+bool AnswerReader::key(string_t &Name) {
+  if (Depth_ == 3 && Current_ == AnswerField::Terms) {
+    if (Name != "term" && Name != "start")
+      return fail("an entry of \"terms\" has the unknown field " + Name);
+    InTermStart_ = Name == "start";
+    return true;
+  }
+  if (Depth_ != 1)
+    return true;
+  const auto *Found = std::find_if(
+      AnswerFieldNames.begin(), AnswerFieldNames.end(),
+      [&Name](const AnswerFieldName &Entry) { return Entry.Name == Name; });
+  Current_ =
+      Found == AnswerFieldNames.end() ? AnswerField::Other : Found->Field;
+  if (Current_ == AnswerField::Other)
+    return true;
+  if (has(Current_))
+    return fail("the field \"" + Name + "\" occurs twice");
+  Seen_ |= 1U << static_cast<unsigned>(Current_);
+  if (Current_ == AnswerField::Result) {
+    // The value begins after the colon and white space.
+    ResultBegin_ = Cursor_;
+    while (*ResultBegin_ == ':' || *ResultBegin_ == ' ' ||
+           *ResultBegin_ == '\t' || *ResultBegin_ == '\n' ||
+           *ResultBegin_ == '\r')
+      ++ResultBegin_;
+  }
+  return true;
+}
+
+bool AnswerReader::open() {
+  ++Depth_;
+  if (Depth_ == 1 || Current_ == AnswerField::Result ||
+      Current_ == AnswerField::Other)
+    return true;
+  if (Current_ != AnswerField::Terms || Depth_ > 3)
+    return fail("a field of the response has an unexpected type");
+  if (Depth_ == 3) {
+    Answer.Terms.emplace_back();
+    TermNumbers_ = 0;
+  }
+  return true;
+}
+
+bool AnswerReader::close() {
+  --Depth_;
+  if (Depth_ == 2 && Current_ == AnswerField::Terms && TermNumbers_ != 2)
+    return fail("an entry of \"terms\" is not complete");
+  if (Depth_ == 1 && Current_ == AnswerField::Result)
+    Answer.Result.assign(ResultBegin_, Cursor_);
+  return true;
+}
+
 } // namespace
 
 static std::string targetOf(const DatabaseRequest &Request) {
@@ -81,83 +322,61 @@
   return Terms;
 }
 
-static DatabaseAnswer readAnswer(const DatabaseRequest &Request,
-                                 const json &Body) {
-  DatabaseAnswer Answer;
-  Answer.Exchange = Request.Exchange;
-  Answer.Database = Body.value("database", "");
-  Answer.Term = Body.value("term", std::uint64_t(0));
-  Answer.LogTerm = Body.value("log_term", std::uint64_t(0));
-  Answer.Index = Body.value("index", std::uint64_t(0));
-  if (Body.contains("result"))
-    Answer.Result = Body["result"].dump();
-  Answer.Replayed = Body.value("replayed", false);
-  Answer.Age = Milliseconds(Body.value("age_ms", std::int64_t(0)));
-  Answer.Terms = termsOf(Body);
-  Answer.Transaction = Body.value("transaction", "");
-  if (Request.Operation == DatabaseOperation::CloseKey) {
-    const std::string State = Body.at("state").get<std::string>();
-    if (State == "recorded")
-      Answer.Key = KeyState::Recorded;
-    if (State == "closed")
-      Answer.Key = KeyState::Closed;
-  }
-  return Answer;
-}
-
 /// The fields without which a successful answer must not be used.
 static bool isComplete(const DatabaseRequest &Request,
-                       const DatabaseAnswer &Answer, const json &Body) {
+                       const AnswerReader &Reader) {
   switch (Request.Operation) {
   case DatabaseOperation::Execute:
   case DatabaseOperation::Commit:
-    return Body.contains("log_term") && Body.contains("index");
+    return Reader.has(AnswerField::LogTerm) && Reader.has(AnswerField::Index);
   case DatabaseOperation::Begin:
-    return !Answer.Transaction.empty();
+    return !Reader.Answer.Transaction.empty();
   case DatabaseOperation::TransactionStatement:
-    return Body.contains("result");
+    return Reader.has(AnswerField::Result);
   case DatabaseOperation::Rollback:
     return true;
   case DatabaseOperation::CloseKey:
-    return Answer.Key != KeyState::None;
+    return Reader.Answer.Key != KeyState::None;
   }
   return false;
 }
 
-static std::variant<DatabaseAnswer, DatabaseFailure>
-readResponse(const DatabaseRequest &Request, const HttpResponse &Response) {
-  const DatabaseFailure Malformed{
-      Request.Exchange, DatabaseFailureKind::Malformed,
-      "unexpected response with status " + std::to_string(Response.Status), 0};
-  const json Body = json::parse(Response.Body);
-  const std::string Exchange = std::to_string(Request.Exchange);
-  if (Response.Status == 200 || Response.Status == 201) {
-    DatabaseAnswer Answer = readAnswer(Request, Body);
-    if (Body.value("exchange", "") != Exchange ||
-        !isComplete(Request, Answer, Body))
-      return Malformed;
-    return Answer;
-  }
-  if (Body.value("exchange", Exchange) != Exchange)
-    return Malformed;
-  const std::string Code = Body.value("error", "");
-  for (const FailureName &Candidate : FailureNames)
-    if (Candidate.Code == Code)
-      return DatabaseFailure{Request.Exchange, Candidate.Kind,
-                             Body.value("detail", Code),
-                             Body.value("term", std::uint64_t(0))};
-  return Malformed;
-}
-
 std::variant<DatabaseAnswer, DatabaseFailure>
 decodeDatabaseAnswer(const DatabaseRequest &Request,
                      const HttpResponse &Response) {
-  try {
-    return readResponse(Request, Response);
-  } catch (const json::exception &Error) {
+  const auto Malformed = [&Request](std::string Detail) {
     return DatabaseFailure{Request.Exchange, DatabaseFailureKind::Malformed,
-                           Error.what(), 0};
+                           std::move(Detail), 0};
+  };
+  const auto Unexpected = [&Malformed, &Response] {
+    return Malformed("unexpected response with status " +
+                     std::to_string(Response.Status));
+  };
+  AnswerReader Reader;
+  if (!Reader.read(Response.Body))
+    return Malformed(std::move(Reader.Failure));
+  const std::string Exchange = std::to_string(Request.Exchange);
+  if (Response.Status == 200 || Response.Status == 201) {
+    Reader.Answer.Exchange = Request.Exchange;
+    if (Request.Operation == DatabaseOperation::CloseKey) {
+      if (Reader.State == "recorded")
+        Reader.Answer.Key = KeyState::Recorded;
+      if (Reader.State == "closed")
+        Reader.Answer.Key = KeyState::Closed;
+    }
+    if (Reader.Exchange != Exchange || !isComplete(Request, Reader))
+      return Unexpected();
+    return std::move(Reader.Answer);
   }
+  if (Reader.has(AnswerField::Exchange) && Reader.Exchange != Exchange)
+    return Unexpected();
+  for (const FailureName &Candidate : FailureNames)
+    if (Candidate.Code == Reader.Error)
+      return DatabaseFailure{Request.Exchange, Candidate.Kind,
+                             Reader.Detail.empty() ? Reader.Error
+                                                   : Reader.Detail,
+                             Reader.Answer.Term};
+  return Unexpected();
 }
 
 HttpRequest encodeControlRequest(const ControlRequest &Request) {
--- a/packages/protocol/jsontext.h
+++ b/packages/protocol/jsontext.h
@@ -1,6 +1,8 @@
 #ifndef NUTMEGLOOM_PROTOCOL_JSONTEXT_H
 #define NUTMEGLOOM_PROTOCOL_JSONTEXT_H
 
+#include <cstddef>
+#include <iterator>
 #include <string>
 #include <string_view>
 
@@ -10,6 +12,33 @@
 /// replaced.
 void appendJsonString(std::string &Out, std::string_view Text);
 
+/// Iterator over text that tells others how far a parser has read. With it a
+/// part of the text can be taken as it is while the whole is parsed once.
+struct CountingIterator {
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char *;
+  using reference = const char &;
+
+  const char *At = nullptr;
+  const char **Cursor = nullptr;
+
+  reference operator*() const { return *At; }
+  CountingIterator &operator++() {
+    *Cursor = ++At;
+    return *this;
+  }
+  CountingIterator operator++(int) {
+    CountingIterator Before = *this;
+    ++*this;
+    return Before;
+  }
+  bool operator==(const CountingIterator &Other) const {
+    return At == Other.At;
+  }
+};
+
 } // namespace nutmegloom
 
 #endif // NUTMEGLOOM_PROTOCOL_JSONTEXT_H
--- a/packages/telemetry/metrics.cpp
+++ b/packages/telemetry/metrics.cpp
@@ -189,7 +189,7 @@
   GaugeFamily Active{Registry, "nutmegloom_group_active",
                      "1 when this host polls the group"};
   GaugeFamily Waiting{Registry, "nutmegloom_group_waiting_requests",
-                      "Work that waits for a slot"};
+                      "Work that waits for a primary or in a queue"};
   GaugeFamily Age{Registry, "nutmegloom_database_age_seconds",
                   "Age of the data of a database as it reports it"};
   GaugeFamily Reachable{Registry, "nutmegloom_database_reachable",
--- a/packages/telemetry/metrics.h
+++ b/packages/telemetry/metrics.h
@@ -31,7 +31,7 @@
     std::uint64_t Term = 0;
     bool HasPrimary = false;
     bool Active = false;
-    /// Work that waits for a slot of one of its databases.
+    /// Work that waits for a primary or in the queue of a database.
     std::size_t Waiting = 0;
   };
   std::vector<Group> Groups;
