--- a/packages/core/ownersystem.cpp
+++ b/packages/core/ownersystem.cpp
@@ -523,12 +523,12 @@
     if (Now < Target.Request.Deadline) {
       // The scheduler found that the work would end too late.
       ++Counters_.Refused;
-      finish(Target, makeError(Target.MayHaveRun ? Outcome::Unknown
-                                                 : Outcome::NotRun,
-                               ErrorCode::Overloaded,
-                               "database \"" + Target.Database +
-                                   "\" can't serve the request in time",
-                               OverloadRetryAfter));
+      finish(Target,
+             makeError(Target.MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                       ErrorCode::Overloaded,
+                       "database \"" + Target.Database +
+                           "\" can't serve the request in time",
+                       OverloadRetryAfter));
       return;
     }
     [[fallthrough]];
--- /dev/null
+++ b/packages/nutmegloomctl/options.cpp
@@ -0,0 +1,216 @@
+#include "nutmegloomctl/options.h"
+
+#include "settings/textformats.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <memory>
+
+#include <popt.h>
+
+namespace nutmegloom {
+
+namespace {
+
+constexpr int LongestTimeout = 600000;
+
+struct CommandRule {
+  std::string_view Name;
+  bool NeedsPlatform;
+  bool NeedsPaths;
+};
+
+constexpr std::array<CommandRule, 6> Commands{{
+    {"check", false, true},
+    {"diff", true, true},
+    {"apply", true, false},
+    {"status", true, false},
+    {"history", true, false},
+    {"help", false, false},
+}};
+
+enum OptionValue {
+  RemoveOverlayOption = 1,
+  HostOption,
+  VersionOption,
+  HelpOption,
+};
+
+/// Targets of popt, which writes C values.
+struct RawOptions {
+  char *Platform = nullptr;
+  int Timeout = 5000;
+  int Json = 0;
+  char *Comment = nullptr;
+  char *Editor = nullptr;
+  long long BasedOn = -1;
+  int Limit = 50;
+
+  ~RawOptions() {
+    // popt allocates with malloc.
+    std::free(Platform);
+    std::free(Comment);
+    std::free(Editor);
+  }
+  RawOptions() = default;
+  RawOptions(const RawOptions &) = delete;
+  RawOptions &operator=(const RawOptions &) = delete;
+};
+
+std::string textOf(const char *Value) { return Value ? Value : ""; }
+
+EarlyExit usageError(std::string Message) {
+  return {ExitCode::Usage,
+          "nutmegloomctl: " + std::move(Message) +
+              "\nRun \"nutmegloomctl help\" for commands and options.\n"};
+}
+
+std::optional<EarlyExit> checkOptions(const Options &Given,
+                                      const RawOptions &Raw) {
+  const auto *Rule = std::find_if(
+      Commands.begin(), Commands.end(),
+      [&Given](const CommandRule &R) { return R.Name == Given.Command; });
+  if (Rule == Commands.end())
+    return usageError("unknown command \"" + Given.Command +
+                      "\"; allowed are check, diff, apply, status, history "
+                      "and help");
+  if (Rule->NeedsPaths && Given.Paths.empty())
+    return usageError("\"" + Given.Command + "\" needs a folder or files");
+  if (Given.Command == "apply" && Given.Paths.empty() &&
+      Given.RemovedOverlays.empty())
+    return usageError("\"apply\" needs a folder, files or --remove-overlay");
+  if (Given.Command == "apply" && Given.Comment.empty())
+    return usageError("\"apply\" needs --comment with the reason for the edit");
+  if (Rule->NeedsPlatform && !canonicalAddress(Given.Platform))
+    return usageError("--platform or NUTMEGLOOM_PLATFORM must be \"IP:port\"; "
+                      "it is \"" +
+                      Given.Platform + "\"");
+  for (const std::string &Host : Given.Hosts)
+    if (!canonicalAddress(Host))
+      return usageError("--host must be \"IP:port\"; it is \"" + Host + "\"");
+  if (Raw.Timeout < 1 || Raw.Timeout > LongestTimeout)
+    return usageError("--timeout-ms must be from 1 to " +
+                      std::to_string(LongestTimeout) + "; it is " +
+                      std::to_string(Raw.Timeout));
+  if (Raw.BasedOn < -1)
+    return usageError("--based-on must be a version; it is " +
+                      std::to_string(Raw.BasedOn));
+  if (Raw.Limit < 1)
+    return usageError("--limit must be at least 1; it is " +
+                      std::to_string(Raw.Limit));
+  return std::nullopt;
+}
+
+} // namespace
+
+std::variant<Options, EarlyExit> parseOptions(int Count, const char **Values) {
+  RawOptions Raw;
+  const std::array<poptOption, 11> Table{{
+      {"platform", 'p', POPT_ARG_STRING, &Raw.Platform, 0, nullptr, nullptr},
+      {"timeout-ms", 't', POPT_ARG_INT, &Raw.Timeout, 0, nullptr, nullptr},
+      {"json", 'j', POPT_ARG_NONE, &Raw.Json, 0, nullptr, nullptr},
+      {"comment", 'c', POPT_ARG_STRING, &Raw.Comment, 0, nullptr, nullptr},
+      {"editor", 'e', POPT_ARG_STRING, &Raw.Editor, 0, nullptr, nullptr},
+      {"based-on", 'b', POPT_ARG_LONGLONG, &Raw.BasedOn, 0, nullptr, nullptr},
+      {"limit", 'n', POPT_ARG_INT, &Raw.Limit, 0, nullptr, nullptr},
+      {"remove-overlay", 'r', POPT_ARG_STRING, nullptr, RemoveOverlayOption,
+       nullptr, nullptr},
+      {"host", 'H', POPT_ARG_STRING, nullptr, HostOption, nullptr, nullptr},
+      {"version", 'V', POPT_ARG_NONE, nullptr, VersionOption, nullptr, nullptr},
+      {"help", 'h', POPT_ARG_NONE, nullptr, HelpOption, nullptr, nullptr},
+  }};
+  std::vector<poptOption> Rows(Table.begin(), Table.end());
+  Rows.push_back(POPT_TABLEEND);
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> Context(
+      poptGetContext("nutmegloomctl", Count, Values, Rows.data(), 0),
+      &poptFreeContext);
+
+  Options Given;
+  int Value = 0;
+  while ((Value = poptGetNextOpt(Context.get())) > 0) {
+    const std::unique_ptr<char, decltype(&std::free)> Argument(
+        poptGetOptArg(Context.get()), &std::free);
+    switch (Value) {
+    case RemoveOverlayOption:
+      Given.RemovedOverlays.push_back(textOf(Argument.get()));
+      break;
+    case HostOption:
+      Given.Hosts.push_back(textOf(Argument.get()));
+      break;
+    case VersionOption:
+      return EarlyExit{ExitCode::Done,
+                       "nutmegloomctl " NUTMEGLOOM_VERSION "\n"};
+    default:
+      return EarlyExit{ExitCode::Done, helpText()};
+    }
+  }
+  if (Value < -1)
+    return usageError(textOf(poptBadOption(Context.get(), 0)) + ": " +
+                      poptStrerror(Value));
+
+  if (const char *Command = poptGetArg(Context.get()))
+    Given.Command = Command;
+  else
+    return usageError("no command");
+  while (const char *Path = poptGetArg(Context.get()))
+    Given.Paths.emplace_back(Path);
+  Given.Platform =
+      textOf(Raw.Platform ? Raw.Platform : std::getenv("NUTMEGLOOM_PLATFORM"));
+  Given.Timeout = Milliseconds(Raw.Timeout);
+  Given.Json = Raw.Json != 0;
+  Given.Comment = textOf(Raw.Comment);
+  Given.Editor = textOf(Raw.Editor ? Raw.Editor : std::getenv("USER"));
+  if (Given.Editor.empty())
+    Given.Editor = "unknown";
+  if (Raw.BasedOn >= 0)
+    Given.BasedOn = static_cast<std::uint64_t>(Raw.BasedOn);
+  Given.HistoryLimit = static_cast<std::uint32_t>(Raw.Limit);
+  if (auto Error = checkOptions(Given, Raw))
+    return *Error;
+  return Given;
+}
+
+std::string helpText() {
+  return R"(Usage: nutmegloomctl [OPTION]... COMMAND [FOLDER|FILE]...
+
+Checks, compares and applies the configuration of nutmegloom, and shows what is
+in force. A folder holds base.jsonc and overlays/SITE.jsonc.
+
+Commands:
+  check FOLDER|FILE...    check the base file and all overlays together
+  diff FOLDER|FILE...     show how files differ from the configuration in force
+  apply FOLDER|FILE...    put the files that changed in force at every site
+  status                  show the latest edit, the version that each site
+                          follows, each group's primary and what is refused
+  history                 show the latest edits, newest first
+  help                    show this text
+
+Options:
+  -p, --platform IP:PORT     address of the platform; default: the environment's
+                             NUTMEGLOOM_PLATFORM
+  -t, --timeout-ms N         longest wait for one answer, 1 to 600000;
+                             default 5000
+  -j, --json                 print one JSON object, for scripts
+  -c, --comment TEXT         apply: reason for the edit, kept in the history
+  -e, --editor NAME          apply: who makes the edit; default: USER
+  -b, --based-on VERSION     apply: version that the files are based on; files
+                             that were changed since are not overwritten
+  -r, --remove-overlay SITE  apply: remove the overlay of a site (repeatable)
+  -H, --host IP:PORT         status: callers' address of a host to ask instead
+                             of the platform's list (repeatable)
+  -n, --limit N              history: number of edits; default 50
+  -V, --version              print the version
+  -h, --help                 show this text
+
+Exit codes:
+  0  done
+  1  refused by the checks: nothing changed
+  2  the command line is not valid
+  3  the platform could not be reached: nothing changed
+  4  lost against a concurrent edit: nothing changed
+  5  the outcome is unknown: look for the edit with "history"
+)";
+}
+
+} // namespace nutmegloom
--- a/packages/settings/crosschecks.cpp
+++ b/packages/settings/crosschecks.cpp
@@ -3,8 +3,6 @@
 #include "settings/settingstable.h"
 #include "settings/textformats.h"
 
-#include <nlohmann/json.hpp>
-
 #include <map>
 
 namespace nutmegloom {
@@ -27,6 +25,14 @@
   return Names;
 }
 
+/// The member, or an empty object if there is no such object.
+Json objectAt(const Json &Object, const std::string &Key) {
+  if (!Object.is_object())
+    return Json::object();
+  const auto Found = Object.find(Key);
+  return Found != Object.end() && Found->is_object() ? *Found : Json::object();
+}
+
 /// Collects errors of one file and the places of values that must be unique.
 class ContentCheck {
 public:
@@ -154,12 +160,20 @@
                  "stop cuts no request");
 }
 
+void checkSiteExists(const Json &Base, const std::string &Site,
+                     SettingsErrors &Errors) {
+  const Json Sites = objectAt(Base, "sites");
+  if (!Sites.contains(Site))
+    Errors.push_back({Site, "",
+                      "the base file has no site " + quote(Site) +
+                          "; allowed are" + namesOf(Sites)});
+}
+
 void checkOverlayClasses(const Json &Base, const Json &Overlay,
                          const std::string &File, SettingsErrors &Errors) {
-  if (!Overlay.contains("classes"))
-    return;
-  const Json Known = Base.value("classes", Json::object());
-  for (const auto &[Name, Value] : Overlay["classes"].items())
+  const Json Known = objectAt(Base, "classes");
+  const Json Used = objectAt(Overlay, "classes");
+  for (const auto &[Name, Value] : Used.items())
     if (!Known.contains(Name))
       Errors.push_back({File, pathOfKey("classes", Name),
                         "the class " + quote(Name) +
--- a/packages/settings/crosschecks.h
+++ b/packages/settings/crosschecks.h
@@ -15,7 +15,12 @@
 void checkTiming(const Json &Merged, const std::string &File,
                  SettingsErrors &Errors);
 
-/// Checks that an overlay names only classes of the base.
+/// Checks that the base has the site. Neither value need be checked before.
+void checkSiteExists(const Json &Base, const std::string &Site,
+                     SettingsErrors &Errors);
+
+/// Checks that an overlay names only classes of the base. Neither value need be
+/// checked before.
 void checkOverlayClasses(const Json &Base, const Json &Overlay,
                          const std::string &File, SettingsErrors &Errors);
 
--- a/packages/settings/head.cpp
+++ b/packages/settings/head.cpp
@@ -1,8 +1,6 @@
 #include "settings/jsontext.h"
 #include "settings/textformats.h"
 
-#include <nlohmann/json.hpp>
-
 namespace nutmegloom {
 
 namespace {
@@ -71,13 +69,14 @@
 
 std::variant<ConfigurationHead, SettingsErrors>
 parseHead(const std::string &Text) {
-  const auto Parsed = parseJsonText(Text, HeadFile);
-  if (const auto *Errors = std::get_if<SettingsErrors>(&Parsed))
-    return *Errors;
-  const Json &Object = std::get<Json>(Parsed);
-  if (!Object.is_object())
-    return SettingsErrors{{HeadFile, "", "an object is expected"}};
   HeadReader Reader;
+  const auto Parsed = parseJsonText(Text, HeadFile, Reader.Errors);
+  if (!Parsed || !Parsed->is_object()) {
+    if (Parsed)
+      Reader.addError("", "an object is expected");
+    return Reader.Errors;
+  }
+  const Json &Object = *Parsed;
   ConfigurationHead Head;
   Head.Version = Reader.number(Object, "version", "");
   Head.EditId = Reader.text(Object, "edit_id", "");
--- a/packages/settings/hostsettings.cpp
+++ b/packages/settings/hostsettings.cpp
@@ -1,8 +1,6 @@
 #include "settings/jsontext.h"
 #include "settings/schema.h"
 
-#include <nlohmann/json.hpp>
-
 namespace nutmegloom {
 
 namespace {
@@ -17,16 +15,16 @@
 std::variant<HostSettings, SettingsErrors>
 parseHostSettings(const std::string &Text, const std::string &File,
                   const HostOverrides &Overrides) {
-  auto Parsed = parseJsonText(Text, File);
-  if (const auto *Errors = std::get_if<SettingsErrors>(&Parsed))
-    return *Errors;
-  Json &Settings = std::get<Json>(Parsed);
+  SettingsErrors Errors;
+  auto Parsed = parseJsonText(Text, File, Errors);
+  if (!Parsed)
+    return Errors;
+  Json &Settings = *Parsed;
   for (const auto &[Key, Value] : Overrides.Values)
     if (Settings.is_object())
       Settings[Key] = Value;
   if (!Overrides.Seeds.empty() && Settings.is_object())
     Settings["seeds"] = Overrides.Seeds;
-  SettingsErrors Errors;
   hostSchema().check(Settings, Schema::Role::Whole, File, Errors);
   if (!Errors.empty())
     return Errors;
--- a/packages/settings/jsontext.cpp
+++ b/packages/settings/jsontext.cpp
@@ -2,8 +2,6 @@
 
 #include "settings/textformats.h"
 
-#include <nlohmann/json.hpp>
-
 #include <set>
 
 namespace nutmegloom {
@@ -42,9 +40,6 @@
       return true;
     case Kind::value:
       beginValue();
-      if (Parsed.is_null())
-        addError(path(), "null is not allowed; leave the setting out to get "
-                         "its default");
       return true;
     }
     return true;
@@ -89,6 +84,22 @@
   bool TooDeep_ = false;
 };
 
+/// Line, column and reason of the library's "[json.exception...] parse error
+/// at line 3, column 5: ...; last read: '...'; expected ...". What was last
+/// read is left out because it may be a secret.
+std::string describeSyntax(const std::string &What) {
+  const std::size_t Start = What.find("] ");
+  std::string Text = Start == std::string::npos ? What : What.substr(Start + 2);
+  const std::size_t LastRead = Text.find("; last read: ");
+  if (LastRead == std::string::npos)
+    return Text;
+  const std::size_t Expected = Text.rfind("; expected ");
+  const std::string Rest = Expected == std::string::npos || Expected < LastRead
+                               ? ""
+                               : Text.substr(Expected);
+  return Text.substr(0, LastRead) + Rest;
+}
+
 } // namespace
 
 std::string pathOfKey(const std::string &Parent, const std::string &Key) {
@@ -99,34 +110,27 @@
   return Parent + "[" + std::to_string(Index) + "]";
 }
 
-std::variant<Json, SettingsErrors> parseJsonText(const std::string &Text,
-                                                 const std::string &File) {
-  SettingsErrors Errors;
+std::optional<Json> parseJsonText(const std::string &Text,
+                                  const std::string &File,
+                                  SettingsErrors &Errors) {
   // The parser doesn't look inside comments, but the text is stored whole in
   // the head, which must be valid UTF-8.
-  if (!isUtf8(Text))
-    return SettingsErrors{{File, "", "the text is not valid UTF-8"}};
+  if (!isUtf8(Text)) {
+    Errors.push_back({File, "", "the text is not valid UTF-8"});
+    return std::nullopt;
+  }
   DuplicateCheck Check(File, Errors);
   try {
-    Json Value = Json::parse(
+    return Json::parse(
         Text,
         [&Check](int Depth, Json::parse_event_t Event, Json &Parsed) {
           return Check.onEvent(Depth, Event, Parsed);
         },
         /*allow_exceptions=*/true, /*ignore_comments=*/true);
-    if (Errors.empty())
-      return Value;
-  } catch (const Json::parse_error &Error) {
-    // The library's text names line and column: "[json.exception...] parse
-    // error at line 3, column 5: ...".
-    const std::string What = Error.what();
-    const std::size_t Start = What.find("] ");
-    Errors.push_back(
-        {File, "", Start == std::string::npos ? What : What.substr(Start + 2)});
   } catch (const Json::exception &Error) {
-    Errors.push_back({File, "", Error.what()});
+    Errors.push_back({File, "", describeSyntax(Error.what())});
   }
-  return Errors;
+  return std::nullopt;
 }
 
 } // namespace nutmegloom
--- a/packages/settings/merge.cpp
+++ b/packages/settings/merge.cpp
@@ -1,7 +1,5 @@
 #include "settings/merge.h"
 
-#include <nlohmann/json.hpp>
-
 namespace nutmegloom {
 
 void mergeInto(Json &Base, const Json &Overlay) {
--- a/packages/settings/schema.cpp
+++ b/packages/settings/schema.cpp
@@ -2,8 +2,6 @@
 
 #include "settings/textformats.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace nutmegloom {
@@ -86,7 +84,8 @@
     return "allowed are 1 to 64 letters, digits, '.', '_' and '-' that start "
            "with a letter or a digit";
   case SettingType::Address:
-    return "allowed is \"IP:port\" with a port from 1 to 65535, as in "
+    return "allowed is \"IP:port\" with an IPv4 address and a port from 1 to "
+           "65535, as in "
            "\"127.0.0.1:8080\"";
   case SettingType::Secret:
     return "allowed are texts of " + std::to_string(Rule.Minimum) + " to " +
--- a/packages/settings/sitesettings.cpp
+++ b/packages/settings/sitesettings.cpp
@@ -2,8 +2,6 @@
 #include "settings/merge.h"
 #include "settings/schema.h"
 
-#include <nlohmann/json.hpp>
-
 namespace nutmegloom {
 
 namespace {
@@ -15,43 +13,42 @@
   return Instance;
 }
 
-/// Parses and checks the base alone.
-std::variant<Json, SettingsErrors> loadBase(const std::string &Text) {
-  auto Parsed = parseJsonText(Text, BaseFile);
-  if (!std::holds_alternative<Json>(Parsed))
-    return Parsed;
-  const Json &Base = std::get<Json>(Parsed);
+/// A file's value, absent when its syntax is wrong, and its errors.
+struct CheckedFile {
+  std::optional<Json> Value;
   SettingsErrors Errors;
-  configurationSchema().check(Base, Schema::Role::Whole, BaseFile, Errors);
-  if (Errors.empty()) {
-    checkContent(Base, BaseFile, Errors);
-    checkTiming(Base, BaseFile, Errors);
+};
+
+/// Parses and checks the base alone.
+CheckedFile loadBase(const std::string &Text) {
+  CheckedFile File;
+  File.Value = parseJsonText(Text, BaseFile, File.Errors);
+  if (!File.Value)
+    return File;
+  configurationSchema().check(*File.Value, Schema::Role::Whole, BaseFile,
+                              File.Errors);
+  // Checks over several values rely on the types.
+  if (File.Errors.empty()) {
+    checkContent(*File.Value, BaseFile, File.Errors);
+    checkTiming(*File.Value, BaseFile, File.Errors);
   }
-  if (!Errors.empty())
-    return Errors;
-  return Parsed;
+  return File;
 }
 
-/// Parses an overlay and checks it. Base is null if the base was refused; the
-/// checks that need it are then left out.
-std::variant<Json, SettingsErrors> loadOverlay(const Json *Base,
-                                               const std::string &Site,
-                                               const std::string &Text) {
-  auto Parsed = parseJsonText(Text, Site);
-  if (!std::holds_alternative<Json>(Parsed))
-    return Parsed;
-  const Json &Overlay = std::get<Json>(Parsed);
-  SettingsErrors Errors;
-  if (Base && !(*Base)["sites"].contains(Site))
-    Errors.push_back({Site, "",
-                      "there is no site \"" + Site +
-                          "\" in the base file, so it may have no overlay"});
-  configurationSchema().check(Overlay, Schema::Role::Overlay, Site, Errors);
-  if (Base && Errors.empty())
-    checkOverlayClasses(*Base, Overlay, Site, Errors);
-  if (!Errors.empty())
-    return Errors;
-  return Parsed;
+/// Parses an overlay and checks it against a base that may be refused.
+CheckedFile loadOverlay(const std::optional<Json> &Base,
+                        const std::string &Site, const std::string &Text) {
+  CheckedFile File;
+  if (Base)
+    checkSiteExists(*Base, Site, File.Errors);
+  File.Value = parseJsonText(Text, Site, File.Errors);
+  if (!File.Value)
+    return File;
+  configurationSchema().check(*File.Value, Schema::Role::Overlay, Site,
+                              File.Errors);
+  if (Base)
+    checkOverlayClasses(*Base, *File.Value, Site, File.Errors);
+  return File;
 }
 
 /// Merges the overlay over the base and checks times that depend on both.
@@ -162,40 +159,34 @@
 
 std::variant<SiteSettings, SettingsErrors>
 loadSite(const ConfigurationHead &Head, const std::string &Site) {
-  const auto Base = loadBase(Head.Base);
-  if (const auto *Errors = std::get_if<SettingsErrors>(&Base))
-    return *Errors;
-  const Json &Whole = std::get<Json>(Base);
-  if (!Whole["sites"].contains(Site))
-    return SettingsErrors{
-        {BaseFile, "sites", "there is no site \"" + Site + "\""}};
+  const CheckedFile Base = loadBase(Head.Base);
+  if (!Base.Errors.empty())
+    return Base.Errors;
+  SettingsErrors Errors;
+  checkSiteExists(*Base.Value, Site, Errors);
+  if (!Errors.empty())
+    return Errors;
   const auto Text = Head.Overlays.find(Site);
   if (Text == Head.Overlays.end())
-    return makeSiteSettings(Whole, Head.Version);
-  const auto Overlay = loadOverlay(&Whole, Site, Text->second);
-  if (const auto *Errors = std::get_if<SettingsErrors>(&Overlay))
-    return *Errors;
-  const auto Merged = mergeSite(Whole, Site, std::get<Json>(Overlay));
-  if (const auto *Errors = std::get_if<SettingsErrors>(&Merged))
-    return *Errors;
+    return makeSiteSettings(*Base.Value, Head.Version);
+  const CheckedFile Overlay = loadOverlay(Base.Value, Site, Text->second);
+  if (!Overlay.Errors.empty())
+    return Overlay.Errors;
+  const auto Merged = mergeSite(*Base.Value, Site, *Overlay.Value);
+  if (const auto *More = std::get_if<SettingsErrors>(&Merged))
+    return *More;
   return makeSiteSettings(std::get<Json>(Merged), Head.Version);
 }
 
 SettingsErrors checkHead(const ConfigurationHead &Head) {
-  SettingsErrors Errors;
-  const auto Base = loadBase(Head.Base);
-  const Json *Whole = std::get_if<Json>(&Base);
-  if (!Whole)
-    append(Errors, std::get<SettingsErrors>(Base));
+  const CheckedFile Base = loadBase(Head.Base);
+  SettingsErrors Errors = Base.Errors;
   for (const auto &[Site, Text] : Head.Overlays) {
-    const auto Overlay = loadOverlay(Whole, Site, Text);
-    if (const auto *More = std::get_if<SettingsErrors>(&Overlay)) {
-      append(Errors, *More);
-      continue;
-    }
-    if (!Whole)
+    const CheckedFile Overlay = loadOverlay(Base.Value, Site, Text);
+    append(Errors, Overlay.Errors);
+    if (!Base.Errors.empty() || !Overlay.Errors.empty())
       continue;
-    const auto Merged = mergeSite(*Whole, Site, std::get<Json>(Overlay));
+    const auto Merged = mergeSite(*Base.Value, Site, *Overlay.Value);
     if (const auto *More = std::get_if<SettingsErrors>(&Merged))
       append(Errors, *More);
   }
--- a/packages/settings/textformats.cpp
+++ b/packages/settings/textformats.cpp
@@ -29,12 +29,12 @@
   return Port;
 }
 
-std::optional<std::string> canonicalIp(const std::string &Text, int Family) {
-  std::array<unsigned char, sizeof(in6_addr)> Bytes{};
-  std::array<char, INET6_ADDRSTRLEN> Canonical{};
-  if (inet_pton(Family, Text.c_str(), Bytes.data()) != 1)
+std::optional<std::string> canonicalIp(const std::string &Text) {
+  in_addr Bytes{};
+  std::array<char, INET_ADDRSTRLEN> Canonical{};
+  if (inet_pton(AF_INET, Text.c_str(), &Bytes) != 1)
     return std::nullopt;
-  if (!inet_ntop(Family, Bytes.data(), Canonical.data(), Canonical.size()))
+  if (!inet_ntop(AF_INET, &Bytes, Canonical.data(), Canonical.size()))
     return std::nullopt;
   return std::string(Canonical.data());
 }
@@ -58,22 +58,14 @@
   const auto Port = parsePort(Text.substr(Colon + 1));
   if (!Port)
     return std::nullopt;
-  std::string_view Ip = Text.substr(0, Colon);
-  if (Ip.size() >= 2 && Ip.front() == '[' && Ip.back() == ']') {
-    const auto Canonical =
-        canonicalIp(std::string(Ip.substr(1, Ip.size() - 2)), AF_INET6);
-    if (!Canonical)
-      return std::nullopt;
-    return "[" + *Canonical + "]:" + std::to_string(*Port);
-  }
-  const auto Canonical = canonicalIp(std::string(Ip), AF_INET);
-  if (!Canonical)
+  const auto Ip = canonicalIp(std::string(Text.substr(0, Colon)));
+  if (!Ip)
     return std::nullopt;
-  return *Canonical + ":" + std::to_string(*Port);
+  return *Ip + ":" + std::to_string(*Port);
 }
 
-std::string ipOf(std::string_view CanonicalAddress) {
-  return std::string(CanonicalAddress.substr(0, CanonicalAddress.rfind(':')));
+std::string ipOf(std::string_view Address) {
+  return std::string(Address.substr(0, Address.rfind(':')));
 }
 
 bool isUtf8(const std::string &Text) {
--- a/packages/settings/textformats.h
+++ b/packages/settings/textformats.h
@@ -11,13 +11,12 @@
 /// or a digit. Names are used in URLs, headers and metric labels.
 bool isName(std::string_view Text);
 
-/// "IP:port" or "[IPv6]:port" in its canonical form, or nothing if the text
-/// isn't an address with a port from 1 to 65535.
+/// "IP:port" in its canonical form, or nothing if the text isn't an IPv4
+/// address with a port from 1 to 65535.
 std::optional<std::string> canonicalAddress(std::string_view Text);
 
-/// IP part of an address that canonicalAddress has accepted, with the brackets
-/// of an IPv6 address.
-std::string ipOf(std::string_view CanonicalAddress);
+/// IP part of an "IP:port".
+std::string ipOf(std::string_view Address);
 
 /// True when the text is valid UTF-8.
 bool isUtf8(const std::string &Text);
