Test settings, head, session tokens and racing edits

The tests cover each kind of bad value by its path, both examples, the merge rules, the round trips of head and token, tampered tokens and key rotation. A small fake platform in process runs a script of faults: races with other edits, answers that are lost, updates that arrive late. One property mixes these faults at random and compares the report with the store.

--- /dev/null
+++ b/tests/settings/editappliertest.cpp
@@ -0,0 +1,294 @@
+#include "tests/settings/fakeplatform.h"
+#include "tests/settings/samplesettings.h"
+#include "tests/support/property.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class EditApplierTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EditApplierTest);
+  CPPUNIT_TEST(makesTheFirstHead);
+  CPPUNIT_TEST(leavesEqualFilesAlone);
+  CPPUNIT_TEST(refusesAnInvalidEditWithoutAnUpdate);
+  CPPUNIT_TEST(appliesOnTopOfAnEditOfAnotherFile);
+  CPPUNIT_TEST(refusesWhatIsInvalidTogetherWithTheOtherEdit);
+  CPPUNIT_TEST(stopsWhenTheOtherEditChangedTheSameFile);
+  CPPUNIT_TEST(stopsWhenTheFilesAreBasedOnAnOlderVersion);
+  CPPUNIT_TEST(findsAnEditWhoseAnswerWasLost);
+  CPPUNIT_TEST(findsALostAnswerBehindOtherEdits);
+  CPPUNIT_TEST(sendsAgainWhatNeverArrived);
+  CPPUNIT_TEST(takesEffectOnceWhenADelayedUpdateArrivesLate);
+  CPPUNIT_TEST(reportsAnUnknownOutcomeWhenTheStoreStaysAway);
+  CPPUNIT_TEST(reportsAnUnknownOutcomeWhenTheHistoryIsTooShort);
+  CPPUNIT_TEST(reportsAStoreThatIsNotReached);
+  CPPUNIT_TEST(givesUpWhenEveryRaceIsLost);
+  CPPUNIT_TEST(boundsHistoryAndSize);
+  CPPUNIT_TEST(neverLosesADoneEditUnderRandomFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+  FakePlatform Store_;
+
+  ApplyResult apply(RequestedEdit Edit) {
+    PlatformCalls Calls = Store_.calls();
+    return EditApplier(Calls, std::move(Edit)).run();
+  }
+
+  void storeSample() {
+    CPPUNIT_ASSERT(apply(baseEdit("first", sampleBase())).Outcome ==
+                   ApplyOutcome::Done);
+  }
+
+  /// Another operator's edit, made just before an update of ours arrives.
+  FakePlatform::PutFault raceWith(const RequestedEdit &Other) {
+    FakePlatform::PutFault Fault;
+    Fault.Before = [this, Other] {
+      std::deque<FakePlatform::PutFault> Rest;
+      Rest.swap(Store_.PutFaults);
+      CPPUNIT_ASSERT(apply(Other).Outcome == ApplyOutcome::Done);
+      Rest.swap(Store_.PutFaults);
+    };
+    return Fault;
+  }
+
+  static std::string limits(int Connections) {
+    return "{\"limits\": {\"connections\": " + std::to_string(Connections) +
+           "}}";
+  }
+
+  // Without the condition "must not exist" two first edits would both succeed.
+  void makesTheFirstHead() {
+    const auto Result = apply(baseEdit("first", sampleBase()));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Done);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Result.Version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Store_.head().Version);
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), Store_.head().EditId);
+  }
+
+  // Each version makes every host load the configuration again.
+  void leavesEqualFilesAlone() {
+    storeSample();
+    CPPUNIT_ASSERT(apply(baseEdit("again", sampleBase())).Outcome ==
+                   ApplyOutcome::Unchanged);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Store_.Puts);
+  }
+
+  // A refused edit in the store would be refused by every host.
+  void refusesAnInvalidEditWithoutAnUpdate() {
+    storeSample();
+    const auto Result = apply(overlayEdit("bad", "a", limits(1)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Refused);
+    CPPUNIT_ASSERT(hasError(Result.Errors, "a", "limits.connections", "1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Store_.Puts);
+  }
+
+  // An update without a condition would drop the edit that came first.
+  void appliesOnTopOfAnEditOfAnotherFile() {
+    storeSample();
+    Store_.PutFaults = {raceWith(overlayEdit("other", "b", limits(50)))};
+    const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Done);
+    CPPUNIT_ASSERT_EQUAL(2, Result.Tries);
+    const ConfigurationHead Head = Store_.head();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Head.Version);
+    CPPUNIT_ASSERT_EQUAL(limits(50), Head.Overlays.at("b"));
+    CPPUNIT_ASSERT_EQUAL(limits(60), Head.Overlays.at("a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), Head.History.at(1).EditId);
+  }
+
+  // Each edit is valid alone; together they refer to a class that is gone.
+  void refusesWhatIsInvalidTogetherWithTheOtherEdit() {
+    storeSample();
+    Store_.PutFaults = {
+        raceWith(baseEdit("other", sampleBaseWith(", \"slow\": {}", "")))};
+    const auto Result = apply(
+        overlayEdit("mine", "a", R"({"classes": {"slow": {"weight": 2}}})"));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Refused);
+    CPPUNIT_ASSERT(hasError(Result.Errors, "a", "classes.slow", "base"));
+    CPPUNIT_ASSERT(Store_.head().Overlays.empty());
+  }
+
+  // Replacing the file would silently drop the other operator's change.
+  void stopsWhenTheOtherEditChangedTheSameFile() {
+    storeSample();
+    Store_.PutFaults = {raceWith(overlayEdit("other", "a", limits(50)))};
+    const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Lost);
+    CPPUNIT_ASSERT(Result.Detail.find("version 2") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(limits(50), Store_.head().Overlays.at("a"));
+  }
+
+  // A copy of the files from last week must not undo this week's edits.
+  void stopsWhenTheFilesAreBasedOnAnOlderVersion() {
+    storeSample();
+    apply(overlayEdit("other", "a", limits(50)));
+    RequestedEdit Edit = overlayEdit("mine", "a", limits(60));
+    Edit.BasedOn = 1;
+    CPPUNIT_ASSERT(apply(Edit).Outcome == ApplyOutcome::Lost);
+    Edit.BasedOn = 3;
+    CPPUNIT_ASSERT(apply(Edit).Outcome == ApplyOutcome::Refused);
+    Edit.BasedOn = 2;
+    CPPUNIT_ASSERT(apply(Edit).Outcome == ApplyOutcome::Done);
+  }
+
+  // Reporting a lost answer as a failure makes the operator edit twice.
+  void findsAnEditWhoseAnswerWasLost() {
+    storeSample();
+    Store_.PutFaults = {{nullptr, false, true, false}};
+    const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Done);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Result.Version);
+    CPPUNIT_ASSERT_EQUAL(1, Result.Tries);
+  }
+
+  // The newest edit id alone doesn't show an edit that others followed.
+  void findsALostAnswerBehindOtherEdits() {
+    storeSample();
+    Store_.PutFaults = {{nullptr, false, true, false}};
+    Store_.FailReadsFrom = Store_.Reads + 1;
+    Store_.FailReadsCount = 1;
+    PlatformCalls Calls(Store_, {[] {},
+                                 [this](Milliseconds) {
+                                   Store_.FailReadsCount = 0;
+                                   apply(overlayEdit("other", "b", limits(50)));
+                                 }});
+    const auto Result =
+        EditApplier(Calls, overlayEdit("mine", "a", limits(60))).run();
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Done);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Result.Version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Store_.head().Version);
+  }
+
+  // Giving up after one lost request would leave a valid edit undone.
+  void sendsAgainWhatNeverArrived() {
+    storeSample();
+    Store_.PutFaults = {{nullptr, true, false, false}};
+    const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Done);
+    CPPUNIT_ASSERT_EQUAL(2, Result.Tries);
+    Store_.deliverDelayed();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Store_.head().Version);
+  }
+
+  // The first copy lands just before the second: one version, not two.
+  void takesEffectOnceWhenADelayedUpdateArrivesLate() {
+    storeSample();
+    FakePlatform::PutFault Arrival;
+    Arrival.Before = [this] { Store_.deliverDelayed(); };
+    Store_.PutFaults = {{nullptr, true, false, false}, Arrival};
+    const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Done);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Result.Version);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Store_.head().History.size());
+  }
+
+  // "Nothing changed" would be wrong while the update may still arrive.
+  void reportsAnUnknownOutcomeWhenTheStoreStaysAway() {
+    storeSample();
+    Store_.PutFaults = {{nullptr, true, false, false}};
+    Store_.FailReadsFrom = Store_.Reads + 1;
+    Store_.FailReadsCount = 1000;
+    const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Unknown);
+    CPPUNIT_ASSERT(Result.Detail.find("mine") != std::string::npos);
+  }
+
+  // An edit id that has left the history proves nothing.
+  void reportsAnUnknownOutcomeWhenTheHistoryIsTooShort() {
+    storeSample();
+    Store_.PutFaults = {{nullptr, false, true, false}};
+    Store_.FailReadsFrom = Store_.Reads + 1;
+    Store_.FailReadsCount = 1;
+    PlatformCalls Calls(Store_,
+                        {[] {},
+                         [this](Milliseconds) {
+                           Store_.FailReadsCount = 0;
+                           for (int Edit = 0; Edit < 51; ++Edit)
+                             apply(overlayEdit("other" + std::to_string(Edit),
+                                               "b", limits(50 + Edit)));
+                         }});
+    const auto Result =
+        EditApplier(Calls, overlayEdit("mine", "a", limits(60))).run();
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Unknown);
+  }
+
+  // A script must be able to tell an outage from a refused edit.
+  void reportsAStoreThatIsNotReached() {
+    storeSample();
+    Store_.PutFaults = {{nullptr, false, false, true}};
+    CPPUNIT_ASSERT(apply(overlayEdit("mine", "a", limits(60))).Outcome ==
+                   ApplyOutcome::NotReached);
+    Store_.FailReadsFrom = Store_.Reads;
+    Store_.FailReadsCount = 1;
+    CPPUNIT_ASSERT(apply(overlayEdit("mine", "a", limits(60))).Outcome ==
+                   ApplyOutcome::NotReached);
+    CPPUNIT_ASSERT(Store_.head().Overlays.empty());
+  }
+
+  // Without a bound the command would never end under a looping script.
+  void givesUpWhenEveryRaceIsLost() {
+    storeSample();
+    for (int Race = 0; Race < 20; ++Race)
+      Store_.PutFaults.push_back(raceWith(
+          overlayEdit("other" + std::to_string(Race), "b", limits(50 + Race))));
+    const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Lost);
+    CPPUNIT_ASSERT(Store_.head().Overlays.count("a") == 0);
+  }
+
+  // The store refuses values above 1 MB, which would end all edits.
+  void boundsHistoryAndSize() {
+    storeSample();
+    RequestedEdit Edit = overlayEdit("", "a", "");
+    for (int Count = 0; Count < 60; ++Count) {
+      Edit.EditId = "edit" + std::to_string(Count);
+      Edit.Comment = std::string(40000, 'x');
+      Edit.Files.Overlays["a"] = limits(50 + Count);
+      CPPUNIT_ASSERT(apply(Edit).Outcome == ApplyOutcome::Done);
+    }
+    CPPUNIT_ASSERT(Store_.Stored.Value.size() < 1000000);
+    CPPUNIT_ASSERT(Store_.head().History.size() < 50);
+    const auto Result =
+        apply(overlayEdit("huge", "b", "{} // " + std::string(1000000, 'x')));
+    CPPUNIT_ASSERT(Result.Outcome == ApplyOutcome::Refused);
+    CPPUNIT_ASSERT(hasError(Result.Errors, "head", "", "fewer than 1000000"));
+  }
+
+  // The report must match the store under any mix of faults: a done edit is
+  // in the history once, one that did not change anything is never in it.
+  void neverLosesADoneEditUnderRandomFaults() {
+    CPPUNIT_ASSERT(holdsForAll("reports match the store", [this] {
+      Store_ = FakePlatform();
+      storeSample();
+      for (int Count = *rc::gen::inRange(0, 8); Count > 0; --Count) {
+        FakePlatform::PutFault Fault;
+        const int Kind = *rc::gen::inRange(0, 5);
+        if (Kind == 0)
+          Fault = raceWith(overlayEdit("other" + std::to_string(Count), "b",
+                                       limits(50 + Count)));
+        else if (Kind == 1)
+          Fault.Before = [this] { Store_.deliverDelayed(); };
+        Fault.Delayed = Kind == 2;
+        Fault.LoseAnswer = Kind == 3;
+        Fault.NotReached = Kind == 4;
+        Store_.PutFaults.push_back(Fault);
+      }
+      const auto Result = apply(overlayEdit("mine", "a", limits(60)));
+      Store_.PutFaults.clear();
+      Store_.deliverDelayed();
+      std::size_t Found = 0;
+      for (const ConfigurationEdit &Edit : Store_.head().History)
+        Found += Edit.EditId == "mine" ? 1 : 0;
+      if (Result.Outcome == ApplyOutcome::Done)
+        RC_ASSERT(Found == 1U);
+      else if (Result.Outcome == ApplyOutcome::Unknown)
+        RC_ASSERT(Found <= 1U);
+      else
+        RC_ASSERT(Found == 0U);
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EditApplierTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/settings/sessiontokentest.cpp
@@ -0,0 +1,111 @@
+#include "protocol/sessiontokencodec.h"
+
+#include "tests/support/property.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class SessionTokenTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SessionTokenTest);
+  CPPUNIT_TEST(keepsPositionsOverARoundTrip);
+  CPPUNIT_TEST(refusesEveryChangeOfOneCharacter);
+  CPPUNIT_TEST(rotatesKeysWithoutEndingSessions);
+  CPPUNIT_TEST(boundsTheSizeWithoutLosingTheNeedForThePrimary);
+  CPPUNIT_TEST(refusesTextsThatAreNotTokens);
+  CPPUNIT_TEST_SUITE_END();
+
+  const TokenKey First_{"k1", "0123456789abcdef"};
+  const TokenKey Second_{"k2", "fedcba9876543210"};
+  const SessionTokenCodec Codec_{{First_}};
+
+  // A position that changes in the token makes a read stale or lost.
+  void keepsPositionsOverARoundTrip() {
+    CPPUNIT_ASSERT(holdsForAll("a token survives the round trip", [this] {
+      SessionState State;
+      State.SessionId = *rc::gen::arbitrary<std::string>();
+      State.SessionId.resize(
+          std::min<std::size_t>(State.SessionId.size(), 255));
+      for (int Group = *rc::gen::inRange(0, 20); Group > 0; --Group)
+        State.Positions["shop/" + std::to_string(Group)] = {
+            *rc::gen::arbitrary<std::uint64_t>(),
+            *rc::gen::arbitrary<std::uint64_t>()};
+      State.Partial = *rc::gen::arbitrary<bool>();
+      const auto Decoded = Codec_.decode(Codec_.encode(State));
+      RC_ASSERT(std::holds_alternative<SessionState>(Decoded));
+      const auto &Back = std::get<SessionState>(Decoded);
+      RC_ASSERT(Back.SessionId == State.SessionId);
+      RC_ASSERT(Back.Positions == State.Positions);
+      RC_ASSERT(Back.Partial == State.Partial);
+    }));
+  }
+
+  // A caller that could forge a token could read another session's progress.
+  void refusesEveryChangeOfOneCharacter() {
+    SessionState State;
+    State.SessionId = "s";
+    State.Positions["shop/0"] = {3, 1000};
+    const std::string Token = Codec_.encode(State);
+    for (std::size_t Place = 0; Place < Token.size(); ++Place)
+      for (const char Other : {'A', 'b', '9', '_', '=', '+', '\n'}) {
+        std::string Changed = Token;
+        if (Changed[Place] == Other)
+          continue;
+        Changed[Place] = Other;
+        CPPUNIT_ASSERT_MESSAGE(Changed, std::holds_alternative<TokenError>(
+                                            Codec_.decode(Changed)));
+      }
+    for (std::size_t Length = 0; Length < Token.size(); ++Length)
+      CPPUNIT_ASSERT(std::holds_alternative<TokenError>(
+          Codec_.decode(Token.substr(0, Length))));
+    CPPUNIT_ASSERT(
+        std::holds_alternative<TokenError>(Codec_.decode(Token + "A")));
+  }
+
+  // A new key must not send every session back to the primary.
+  void rotatesKeysWithoutEndingSessions() {
+    const std::string Old = Codec_.encode({});
+    const SessionTokenCodec Rotated({Second_, First_});
+    CPPUNIT_ASSERT(std::holds_alternative<SessionState>(Rotated.decode(Old)));
+    const std::string New = Rotated.encode({});
+    CPPUNIT_ASSERT(std::get<TokenError>(Codec_.decode(New)) ==
+                   TokenError::UnknownKey);
+    const SessionTokenCodec Removed({Second_});
+    CPPUNIT_ASSERT(std::holds_alternative<SessionState>(Removed.decode(New)));
+    CPPUNIT_ASSERT(std::get<TokenError>(Removed.decode(Old)) ==
+                   TokenError::UnknownKey);
+    const SessionTokenCodec OtherSecret({{"k1", Second_.Secret}});
+    CPPUNIT_ASSERT(std::get<TokenError>(OtherSecret.decode(Old)) ==
+                   TokenError::BadMac);
+  }
+
+  // A position that is dropped without a trace would allow a stale read.
+  void boundsTheSizeWithoutLosingTheNeedForThePrimary() {
+    SessionState State;
+    for (int Group = 0; Group < 1000; ++Group)
+      State.Positions["shop/" + std::to_string(Group)] = {1, 1};
+    const std::string Token = Codec_.encode(State);
+    CPPUNIT_ASSERT(Token.size() <= 4096);
+    const auto Back = std::get<SessionState>(Codec_.decode(Token));
+    CPPUNIT_ASSERT(Back.Partial);
+    for (const auto &[Group, Seen] : State.Positions) {
+      const auto Required = requiredPosition(Back, Group);
+      CPPUNIT_ASSERT(!Required || *Required == Seen);
+    }
+    CPPUNIT_ASSERT(requiredPosition({}, "shop/0") == Position());
+  }
+
+  // Bytes from outside must neither crash nor pass.
+  void refusesTextsThatAreNotTokens() {
+    CPPUNIT_ASSERT(std::get<TokenError>(Codec_.decode("")) ==
+                   TokenError::Malformed);
+    CPPUNIT_ASSERT(std::get<TokenError>(Codec_.decode("!")) ==
+                   TokenError::Malformed);
+    CPPUNIT_ASSERT(std::get<TokenError>(Codec_.decode(
+                       std::string(5000, 'A'))) == TokenError::TooLarge);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionTokenTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/settings/sitesettingstest.cpp
@@ -0,0 +1,244 @@
+#include "settings/settings.h"
+
+#include "settings/settingstable.h"
+#include "tests/settings/samplesettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+namespace {
+
+struct BadBase {
+  const char *Old;
+  const char *New;
+  const char *Path;
+  const char *Part;
+};
+
+const std::vector<BadBase> BadBases{
+    {"\"version_format\": 1", "\"version_format\": 2", "version_format",
+     "2 is not allowed; allowed are whole numbers from 1 to 1"},
+    {"\"region\": \"r\"", "\"zone\": \"r\"", "sites.a.zone", "unknown"},
+    {"\"region\": \"r\"", "", "sites.a.region", "missing"},
+    {"\"zone\": \"b\"", "\"zone\": \"c\"",
+     "services.shop.groups[0].databases[1].zone", "\"c\" is not a site"},
+    {"\"id\": \"d1\"", "\"id\": \"d0\"",
+     "services.shop.groups[0].databases[1].id", "is already at"},
+    {"127.0.0.1:1003", "127.0.0.1:1000",
+     "services.shop.groups[0].databases[1].control_address", "is already at"},
+    {"127.0.0.1:1003", "127.0.0.1:0",
+     "services.shop.groups[0].databases[1].control_address", "IP:port"},
+    {"\"database_connections\": 10", "\"database_connections\": 3",
+     "services.shop.database_connections", "from 4 to"},
+    {"\"term_validity_ms\": 400", "\"term_validity_ms\": 331",
+     "timing.term_validity_ms", "at least 332 ms"},
+    {"\"term_validity_ms\": 400", "\"status_interval_ms\": 185",
+     "timing.term_validity_ms", "at least 402 ms"},
+    {"\"term_validity_ms\": 400", "\"drain_timeout_ms\": 20000",
+     "timing.drain_timeout_ms", "at least 30000 ms"},
+    {"\"term_validity_ms\": 400", "\"suspect_ms\": 999", "timing.suspect_ms",
+     "at least 1000 ms"},
+    {"\"connections\": 100", "\"connections\": 65537", "limits.connections",
+     "to 65536"},
+    {"\"connections\": 100", "\"connections\": -1", "limits.connections",
+     "from 16"},
+    {"\"connections\": 100", "\"connections\": 100.5", "limits.connections",
+     "100.5 is not allowed"},
+    {"\"connections\": 100", "\"connections\": null", "limits.connections",
+     "null is not allowed"},
+    {"\"connections\": 100", "\"connections\": 100, \"connections\": 100",
+     "limits.connections", "written twice"},
+    {"\"secret\": \"0123456789abcdef\"", "\"secret\": \"0123456789abcde\"",
+     "tokens[0].secret", "has 15 bytes; allowed are texts of 16"},
+    {"[{\"id\": \"k1\", \"secret\": \"0123456789abcdef\"}]", "[]", "tokens",
+     "there are 0 keys"},
+    {"\"info\"", "\"loud\"", "hosts.log_level", "\"warning\""},
+    {"\"shop\"", "\"a/b\"", "services.a/b", "the name"},
+    {"\"weight\": 4", "\"weight\": 0", "classes.fast.weight", "from 1"},
+};
+
+} // namespace
+
+class SiteSettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SiteSettingsTest);
+  CPPUNIT_TEST(readsAllValuesAndDefaults);
+  CPPUNIT_TEST(takesDefaultsThatAgreeWithTheDecisionLibrary);
+  CPPUNIT_TEST(refusesEachBadValueByPath);
+  CPPUNIT_TEST(collectsErrorsOfAllFiles);
+  CPPUNIT_TEST(namesLineAndColumnOfASyntaxErrorButNoSecret);
+  CPPUNIT_TEST(refusesTextThatIsNotUtf8InAComment);
+  CPPUNIT_TEST(refusesDeepNesting);
+  CPPUNIT_TEST(mergesAnOverlayForItsSiteOnly);
+  CPPUNIT_TEST(refusesWhatAnOverlayMayNotChange);
+  CPPUNIT_TEST(checksTimesAfterTheMerge);
+  CPPUNIT_TEST(readsAHostFileWithOverrides);
+  CPPUNIT_TEST_SUITE_END();
+
+  static SiteSettings load(const ConfigurationHead &Head,
+                           const std::string &Site) {
+    const auto Loaded = loadSite(Head, Site);
+    CPPUNIT_ASSERT(std::holds_alternative<SiteSettings>(Loaded));
+    return std::get<SiteSettings>(Loaded);
+  }
+
+  // A value read from the wrong place puts hosts under limits nobody wrote.
+  void readsAllValuesAndDefaults() {
+    const SiteSettings Site = load(sampleHead(), "a");
+    const Deployment &Content = Site.Content;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Content.Version);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), Content.Zones.at("b"));
+    CPPUNIT_ASSERT_EQUAL(std::string("shop/0"), Content.Groups.at(0).Id);
+    CPPUNIT_ASSERT(Content.Groups.at(0).Members ==
+                   (std::vector<DatabaseId>{"d0", "d1"}));
+    const DatabaseEntity &Database = Content.Databases.at(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), Database.Region);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:1003"),
+                         Database.ControlAddress);
+    CPPUNIT_ASSERT_EQUAL(2U, Database.Slots);
+    CPPUNIT_ASSERT_EQUAL(10U, Database.ConnectionCap);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, Site.Connections);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{16384}, Site.HeaderBytes);
+    CPPUNIT_ASSERT_EQUAL(4U, Content.Limits.Classes.at(0).Weight);
+    CPPUNIT_ASSERT_EQUAL(1U, Content.Limits.Classes.at(1).Weight);
+    CPPUNIT_ASSERT_EQUAL(std::string("k1"), Site.TokenKeys.at(0).Id);
+  }
+
+  // Two sets of defaults would let tests of the decision library pass with
+  // times that no deployment has.
+  void takesDefaultsThatAgreeWithTheDecisionLibrary() {
+    const Policy Loaded =
+        load(sampleHead(sampleBaseWith("\"term_validity_ms\": 400", "")), "a")
+            .Content.Limits;
+    const Policy Built;
+    CPPUNIT_ASSERT(Loaded.StatusInterval == Built.StatusInterval);
+    CPPUNIT_ASSERT(Loaded.TermValidity == Built.TermValidity);
+    CPPUNIT_ASSERT(Loaded.PrimarySilence == Built.PrimarySilence);
+    CPPUNIT_ASSERT(Loaded.Heartbeat == Built.Heartbeat);
+    CPPUNIT_ASSERT(Loaded.Suspect == Built.Suspect);
+    CPPUNIT_ASSERT(Loaded.ConnectionSilence == Built.ConnectionSilence);
+    CPPUNIT_ASSERT(Loaded.DrainTimeout == Built.DrainTimeout);
+    CPPUNIT_ASSERT(Loaded.StatementTimeout == Built.StatementTimeout);
+    CPPUNIT_ASSERT(Loaded.StatementTimeoutMaximum ==
+                   Built.StatementTimeoutMaximum);
+    CPPUNIT_ASSERT_EQUAL(Built.WaitingRequests, Loaded.WaitingRequests);
+  }
+
+  // An impossible value in force would break a site at its first use.
+  void refusesEachBadValueByPath() {
+    CPPUNIT_ASSERT(checkHead(sampleHead()).empty());
+    for (const BadBase &Bad : BadBases) {
+      const auto Errors =
+          checkHead(sampleHead(sampleBaseWith(Bad.Old, Bad.New)));
+      std::string Found = Bad.New;
+      for (const SettingsError &Error : Errors)
+        Found += "\n" + describe(Error);
+      CPPUNIT_ASSERT_MESSAGE(Found,
+                             hasError(Errors, "base", Bad.Path, Bad.Part));
+    }
+  }
+
+  // An operator who sees one error at a time needs an edit for each.
+  void collectsErrorsOfAllFiles() {
+    ConfigurationHead Head =
+        sampleHead(sampleBaseWith("\"weight\": 4", "\"weight\": 0, \"x\": 1"));
+    Head.Overlays["a"] = R"({"limits": {"connections": 1}, "tokens": []})";
+    Head.Overlays["nowhere"] = "{";
+    const auto Errors = checkHead(Head);
+    CPPUNIT_ASSERT(hasError(Errors, "base", "classes.fast.weight", "0"));
+    CPPUNIT_ASSERT(hasError(Errors, "base", "classes.fast.x", "unknown"));
+    CPPUNIT_ASSERT(hasError(Errors, "a", "limits.connections", "from 16"));
+    CPPUNIT_ASSERT(hasError(Errors, "a", "tokens", "may not change"));
+    CPPUNIT_ASSERT(hasError(Errors, "nowhere", "", "no site"));
+    CPPUNIT_ASSERT(hasError(Errors, "nowhere", "", "line 1, column 2"));
+    CPPUNIT_ASSERT(std::holds_alternative<SettingsErrors>(loadSite(Head, "b")));
+  }
+
+  // Refused settings are logged, and a log must hold no secret.
+  void namesLineAndColumnOfASyntaxErrorButNoSecret() {
+    const auto Errors = checkHead(sampleHead(
+        sampleBaseWith("\"0123456789abcdef\"", "\"0123456789abcdef\" 1")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Errors.size());
+    CPPUNIT_ASSERT(hasError(Errors, "base", "", "line 18, column"));
+    CPPUNIT_ASSERT(Errors[0].Message.find("0123") == std::string::npos);
+  }
+
+  // The head is stored as JSON, which can't hold such bytes.
+  void refusesTextThatIsNotUtf8InAComment() {
+    const auto Errors =
+        checkHead(sampleHead(sampleBaseWith("Comments are allowed.", "\xff")));
+    CPPUNIT_ASSERT(hasError(Errors, "base", "", "UTF-8"));
+  }
+
+  // Merge and checks are recursive; deep text must not exhaust the stack.
+  void refusesDeepNesting() {
+    ConfigurationHead Head = sampleHead();
+    Head.Overlays["a"] = std::string(200000, '[') + std::string(200000, ']');
+    const auto Errors = checkHead(Head);
+    CPPUNIT_ASSERT(!Errors.empty());
+    CPPUNIT_ASSERT(Errors[0].Message.find("nested deeper") !=
+                   std::string::npos);
+  }
+
+  // An overlay that replaces whole objects would drop the base's other values.
+  void mergesAnOverlayForItsSiteOnly() {
+    ConfigurationHead Head = sampleHead();
+    Head.Overlays["a"] = R"({"limits": {"body_bytes": 2048},
+        "classes": {"slow": {"weight": 7}}, "hosts": {"log_level": "debug"}})";
+    const SiteSettings Changed = load(Head, "a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2048}, Changed.BodyBytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, Changed.Connections);
+    CPPUNIT_ASSERT_EQUAL(4U, Changed.Content.Limits.Classes.at(0).Weight);
+    CPPUNIT_ASSERT_EQUAL(7U, Changed.Content.Limits.Classes.at(1).Weight);
+    CPPUNIT_ASSERT_EQUAL(std::string("debug"), Changed.LogLevel);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1048576}, load(Head, "b").BodyBytes);
+  }
+
+  // Sites that disagree on these values endanger acknowledged writes.
+  void refusesWhatAnOverlayMayNotChange() {
+    ConfigurationHead Head = sampleHead();
+    Head.Overlays["a"] = R"({"timing": {"term_validity_ms": 500},
+        "classes": {"new": {"weight": 1}}, "sites": {},
+        "hosts": {"caller_port": 1}})";
+    const auto Errors = checkHead(Head);
+    CPPUNIT_ASSERT(
+        hasError(Errors, "a", "timing.term_validity_ms", "may not change"));
+    CPPUNIT_ASSERT(hasError(Errors, "a", "classes.new", "not in the base"));
+    CPPUNIT_ASSERT(hasError(Errors, "a", "sites", "may not change"));
+    CPPUNIT_ASSERT(
+        hasError(Errors, "a", "hosts.caller_port", "may not change"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Errors.size());
+  }
+
+  // Base and overlay can each be valid while their merge makes the term check
+  // impossible.
+  void checksTimesAfterTheMerge() {
+    ConfigurationHead Head = sampleHead();
+    Head.Overlays["a"] = R"({"timing": {"status_interval_ms": 300}})";
+    CPPUNIT_ASSERT(hasError(checkHead(Head), "a", "timing.term_validity_ms",
+                            "at least 632 ms"));
+    CPPUNIT_ASSERT(std::holds_alternative<SettingsErrors>(loadSite(Head, "a")));
+  }
+
+  // A host that starts with a wrong zone or address serves the wrong site.
+  void readsAHostFileWithOverrides() {
+    const std::string Text = R"({"name": "h", "zone": "a", "region": "r",
+        "caller_address": "127.0.0.1:1", "peer_address": "127.0.0.1:2",
+        "platform_address": "127.0.0.1:3", "seeds": ["127.0.0.1:4"]})";
+    const auto Host = parseHostSettings(
+        Text, "h.jsonc", {{{"peer_address", "127.0.0.9:2"}}, {}});
+    CPPUNIT_ASSERT(std::holds_alternative<HostSettings>(Host));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), std::get<HostSettings>(Host).Site);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.9:2"),
+                         std::get<HostSettings>(Host).PeerAddress);
+    const auto Bad = parseHostSettings(R"({"seeds": ["::1"]})", "h.jsonc");
+    const auto &Errors = std::get<SettingsErrors>(Bad);
+    CPPUNIT_ASSERT(hasError(Errors, "h.jsonc", "seeds[0]", "IP:port"));
+    CPPUNIT_ASSERT(hasError(Errors, "h.jsonc", "name", "missing"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, Errors.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SiteSettingsTest);
+
+} // namespace nutmegloom
