--- a/packages/nutmegloomctl/configurationdiff.cpp
+++ b/packages/nutmegloomctl/configurationdiff.cpp
@@ -71,7 +71,8 @@
   static std::string show(const Json *Value, const std::string &Path) {
     if (!Value)
       return "";
-    if (Path.ends_with("secret"))
+    // Only the ids of keys are shown, also when the keys have a wrong form.
+    if (Path.starts_with("tokens") && !Path.ends_with(".id"))
       return "(hidden)";
     return Value->dump();
   }
