Restore the headers of membership, failover and configuration

The wait of a status poll is bounded by three eighths of the term's validity instead of half of the interval, which fits the shorter interval.

--- a/packages/core/configurationsystem.h
+++ b/packages/core/configurationsystem.h
@@ -48,6 +48,9 @@
   bool isWatcher() const;
 
 private:
+  void accept(std::uint64_t Version, const std::string &Text);
+  void startFetch(TimePoint Now);
+
   const Tables &Data_;
   const Policy &Limits_;
   HostName Self_;
@@ -57,10 +60,12 @@
   std::string Text_;
   ConfigurationSource Source_ = ConfigurationSource::None;
   std::uint64_t RefusedVersion_ = 0;
-  bool Watching_ = false;
+  /// Set while a watch waits at the store.
+  std::optional<TimePoint> WatchStarted_;
   std::optional<TimePoint> NextWatch_;
   std::optional<HostName> Fetching_;
   std::optional<TimePoint> FetchStarted_;
+  std::map<HostName, TimePoint> PeerRetryAt_;
 };
 
 } // namespace nutmegloom
--- a/packages/core/failover.cpp
+++ b/packages/core/failover.cpp
@@ -447,11 +447,11 @@
 }
 
 void FailoverSystem::pollMembers(const GroupEntity &Group, TimePoint Now) {
-  // Half of the interval while tasks are served: a report counts from the time
-  // its request was sent, so with a wait of W the last report is up to 2 W and
-  // two round trips old, and has to stay within the term's validity.
+  // A report counts from the time its request was sent, so with a wait of W the
+  // last report is up to 2 W and two round trips old just before the next one.
+  // Two waits take three quarters of the validity; the rest is for the network.
   const Milliseconds Wait =
-      Group.Active ? Limits_.StatusInterval / 2 : Limits_.StatusInterval;
+      std::min(Limits_.StatusInterval, Limits_.TermValidity * 3 / 8);
   for (const DatabaseId &Member : Group.Members) {
     const DatabaseEntity *Database = findDatabase(Data_, Member);
     if (!Database)
--- a/packages/core/failover.h
+++ b/packages/core/failover.h
@@ -62,6 +62,25 @@
   struct Attempt;
   struct Poll;
 
+  void pollMembers(const GroupEntity &Group, TimePoint Now);
+  void updateGroup(const DatabaseEntity &Database);
+  void detect(const GroupEntity &Group, Attempt &State, std::size_t Rank,
+              TimePoint Now);
+  void start(const GroupEntity &Group, Attempt &State, TimePoint Now,
+             const std::string &Reason);
+  void advance(const GroupEntity &Group, Attempt &State, TimePoint Now);
+  void sendFences(const GroupEntity &Group, Attempt &State, TimePoint Now);
+  void sendPromote(const GroupEntity &Group, Attempt &State, TimePoint Now);
+  void complete(const GroupEntity &Group, Attempt &State, TimePoint Now);
+  void giveUp(const GroupId &Group, Attempt &State, Duration Pause,
+              TimePoint Now, const std::string &Reason);
+  void enter(const GroupId &Group, Attempt &State, FailoverPhase Phase,
+             const std::string &Detail);
+  void repair(const GroupEntity &Group, Attempt &State, std::size_t Rank,
+              TimePoint Now);
+  void sendFollow(const GroupEntity &Group, const DatabaseId &Member);
+  Duration jitter(Duration Bound) const;
+
   Tables &Data_;
   const Policy &Limits_;
   const OwnershipSystem &Owners_;
--- a/packages/core/membership.h
+++ b/packages/core/membership.h
@@ -44,8 +44,8 @@
   void setConfigurationVersion(std::uint64_t Version);
   const PeerHeartbeat &self() const { return Self_; }
 
-  /// True when neither a majority of the peers that were live nor the store
-  /// was heard within the suspicion time.
+  /// True when neither a majority of the hosts that were live, this one
+  /// included, nor the store was heard lately.
   bool isCutOff(TimePoint Now) const;
   void onStoreHeard(TimePoint Now);
 
@@ -53,6 +53,14 @@
   void tick(TimePoint Now);
 
 private:
+  HostEntity &entityOf(const HostName &Host, TimePoint Now);
+  void learn(const PeerSummary &Summary, TimePoint Now);
+  void updateSelf(TimePoint Now);
+  void suspectSilentHosts(TimePoint Now);
+  void forgetHosts(TimePoint Now);
+  void sendHeartbeats(TimePoint Now);
+  std::vector<PeerSummary> summarize(TimePoint Now);
+
   Tables &Data_;
   const Policy &Limits_;
   PeerHeartbeat Self_;
@@ -60,6 +68,8 @@
   std::vector<std::string> Seeds_;
   std::optional<TimePoint> LastBeat_;
   std::optional<TimePoint> StoreHeard_;
+  /// Where the rotation over the hosts in summaries continues.
+  HostName NextSummarized_;
 };
 
 } // namespace nutmegloom
--- a/packages/core/messages.h
+++ b/packages/core/messages.h
@@ -203,6 +203,20 @@
   std::string PrimaryControl;
 };
 
+/// What a heartbeat tells about another host than its sender.
+struct PeerSummary {
+  HostName Host;
+  std::string Incarnation;
+  RegionName Region;
+  ZoneName Zone;
+  std::string PeerAddress;
+  HostState State = HostState::Unknown;
+  std::uint64_t ConfigurationVersion = 0;
+  /// Time since a heartbeat of the host was last heard by anyone.
+  Milliseconds Age{0};
+  bool Suspected = false;
+};
+
 /// Heartbeat between hosts.
 struct PeerHeartbeat {
   HostName Host;
@@ -213,6 +227,8 @@
   std::string PeerAddress;
   HostState State = HostState::Unknown;
   std::uint64_t ConfigurationVersion = 0;
+  /// A bounded part of what the sender knows of other hosts.
+  std::vector<PeerSummary> Known;
 };
 
 } // namespace nutmegloom
--- a/packages/core/tables.h
+++ b/packages/core/tables.h
@@ -29,6 +29,8 @@
   std::optional<TimePoint> StatusReceivedAt;
   /// When status requests began to fail, if they fail now.
   std::optional<TimePoint> FailingSince;
+  /// Leaving by the host list.
+  bool LeavingInList = false;
 };
 
 /// A group as this host knows it.
@@ -56,12 +58,19 @@
   std::string Incarnation;
   HostState State = HostState::Unknown;
   bool InList = false;
+  /// The platform's list says that the host leaves.
+  bool LeavingInList = false;
   std::optional<TimePoint> LastHeard;
   /// A peer connection broke and no heartbeat was heard since.
   bool Suspected = false;
   std::uint64_t ConfigurationVersion = 0;
+  /// When the list, a heartbeat or a peer's live summary last showed the host.
+  std::optional<TimePoint> LastShown;
 };
 
+/// True when the host may be chosen to own groups.
+bool isLive(const HostEntity &Host);
+
 /// All entities that the systems run over.
 struct Tables {
   std::map<HostName, HostEntity> Hosts;
