--- a/testing/standindatabase/database.cpp
+++ b/testing/standindatabase/database.cpp
@@ -9,7 +9,6 @@
 namespace nutmegloom::testing {
 
 using nlohmann::json;
-using std::chrono::steady_clock;
 
 static constexpr std::size_t MaximumPullEntries = 1000;
 
