Add history callers and a checker of the invariants

Callers record what they sent and what they were told as JSON lines; the checker decides from that alone. Each appended value is unique and names its list, and the length that an append returns names its place, so stale reads, lost, repeated and wrongly reported writes, exchanged answers and mixed transactions all show in the lists. A refused attempt is no proof about an earlier attempt of unknown outcome. A history without a final read of a list is refused, because a lost write would pass unseen.

--- /dev/null
+++ b/testing/history/callermain.cpp
@@ -0,0 +1,69 @@
+#include "testing/history/caller.h"
+#include "testing/support/program.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace nutmegloom::testing;
+
+int main(int Argc, char **Argv) {
+  std::string Hosts, Service = "salas-db", Groups = "1", Callers = "8";
+  std::string Operations = "100", Lists = "5", Seed = "1", Pause = "0";
+  std::string Output, Timeout = "5000", TransactionPercent = "10";
+  parseOptions(
+      Argc, Argv,
+      {{"hosts", &Hosts, "callers' addresses, separated by commas"},
+       {"service", &Service, "name of the service"},
+       {"groups", &Groups, "number of groups"},
+       {"callers", &Callers, "callers that run at once"},
+       {"operations", &Operations, "operations of each caller"},
+       {"lists", &Lists, "lists in each group"},
+       {"seed", &Seed, "seed of the operations"},
+       {"pause-ms", &Pause, "pause after each operation"},
+       {"timeout-ms", &Timeout, "deadline of each request"},
+       {"transaction-percent", &TransactionPercent, "share of transactions"},
+       {"output", &Output, "history file"}});
+  CallerOptions Options;
+  std::istringstream Input(Hosts);
+  for (std::string Host; std::getline(Input, Host, ',');)
+    Options.Hosts.push_back(Host);
+  Options.Service = Service;
+  Options.Groups = toNumber(Groups);
+  Options.Lists = toNumber(Lists);
+  Options.Operations = toNumber(Operations);
+  Options.Pause = nutmegloom::Milliseconds(toNumber(Pause));
+  Options.TimeoutMs = toNumber(Timeout);
+  Options.TransactionShare =
+      static_cast<double>(toNumber(TransactionPercent)) / 100;
+  std::ofstream File(Output);
+  if (Options.Hosts.empty() || !File || Options.Lists < 2 ||
+      Options.Groups == 0) {
+    std::cerr << Argv[0]
+              << ": --hosts, --output, a group and two lists are required\n";
+    return 2;
+  }
+
+  boost::asio::io_context Io(1);
+  std::uint64_t Running = toNumber(Callers);
+  std::shared_ptr<HistoryCaller> Final;
+  std::vector<std::shared_ptr<HistoryCaller>> All;
+  const std::uint64_t Count = Running;
+  for (std::uint64_t Number = 1; Number <= Count; ++Number) {
+    Options.Seed = toNumber(Seed) * 1000 + Number;
+    All.push_back(std::make_shared<HistoryCaller>(
+        Io, Options, "c" + std::to_string(Number), File, [&] {
+          if (--Running > 0)
+            return;
+          Final = std::make_shared<HistoryCaller>(Io, Options, "final", File,
+                                                  [&Io] { Io.stop(); });
+          Final->startFinalReads();
+        }));
+    All.back()->start();
+  }
+  Io.run();
+  File.close();
+  std::quick_exit(0);
+}
--- /dev/null
+++ b/testing/history/checker.cpp
@@ -0,0 +1,252 @@
+#include "testing/history/checker.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace nutmegloom::testing {
+
+std::string_view nameOf(ViolationKind Kind) {
+  switch (Kind) {
+  case ViolationKind::StaleRead:
+    return "stale_read";
+  case ViolationKind::LostWrite:
+    return "lost_write";
+  case ViolationKind::DuplicateWrite:
+    return "duplicate_write";
+  case ViolationKind::RanAlthoughNotRun:
+    return "ran_although_not_run";
+  case ViolationKind::WrongAnswer:
+    return "wrong_answer";
+  case ViolationKind::MixedTransaction:
+    return "mixed_transaction";
+  case ViolationKind::Incomplete:
+    return "incomplete";
+  }
+  return "invalid";
+}
+
+namespace {
+
+/// Group and list.
+using ListName = std::pair<std::string, std::string>;
+using Items = std::vector<std::string>;
+
+/// All attempts with one idempotency key.
+struct Write {
+  std::vector<const HistoryOperation *> Attempts;
+
+  const HistoryOperation *acknowledged() const {
+    for (const HistoryOperation *Attempt : Attempts)
+      if (Attempt->Result == Outcome::Run)
+        return Attempt;
+    return nullptr;
+  }
+  /// Each attempt was reported as not run. An attempt that was refused says
+  /// nothing about an earlier one whose outcome is unknown.
+  bool isReportedNotRun() const {
+    return std::all_of(Attempts.begin(), Attempts.end(),
+                       [](const HistoryOperation *Attempt) {
+                         return Attempt->Result == Outcome::NotRun;
+                       });
+  }
+};
+
+class Checker {
+public:
+  explicit Checker(const std::vector<HistoryOperation> &Operations);
+
+  std::vector<Violation> run();
+
+private:
+  void checkReads(const HistoryOperation &Operation);
+  void checkItems(const HistoryOperation &Operation, const HistoryStep &Step);
+  void checkOwnWrites(const HistoryOperation &Operation,
+                      const HistoryStep &Step);
+  void checkWrite(const Write &Attempts);
+  void checkLength(const HistoryOperation &Operation, const HistoryStep &Step);
+  bool wasTold(const std::string &Session, const std::string &Group,
+               std::uint64_t After, std::uint64_t Before) const;
+  void report(ViolationKind Kind, const HistoryOperation &Operation,
+              std::string Detail);
+
+  const std::vector<HistoryOperation> &Operations_;
+  std::map<std::string, Write> Writes_;
+  /// Key of the write that appends the value.
+  std::map<std::string, std::string> KeyOfValue_;
+  std::map<ListName, Items> Final_;
+  std::map<std::string, std::vector<const HistoryOperation *>>
+      AcknowledgedBySession_;
+  std::vector<Violation> Found_;
+};
+
+} // namespace
+
+static bool isAppend(const HistoryStep &Step) { return !Step.Value.empty(); }
+
+static std::size_t countOf(const Items &List, const std::string &Value) {
+  return static_cast<std::size_t>(std::count(List.begin(), List.end(), Value));
+}
+
+Checker::Checker(const std::vector<HistoryOperation> &Operations)
+    : Operations_(Operations) {
+  for (const HistoryOperation &Operation : Operations_) {
+    if (!Operation.Key.empty())
+      Writes_[Operation.Key].Attempts.push_back(&Operation);
+    for (const HistoryStep &Step : Operation.Steps) {
+      if (isAppend(Step))
+        KeyOfValue_[Step.Value] = Operation.Key;
+      if (Operation.IsFinal && Step.Items)
+        Final_[{Operation.Group, Step.List}] = *Step.Items;
+    }
+    if (!Operation.Key.empty() && Operation.Result == Outcome::Run)
+      AcknowledgedBySession_[Operation.Session].push_back(&Operation);
+  }
+}
+
+void Checker::report(ViolationKind Kind, const HistoryOperation &Operation,
+                     std::string Detail) {
+  Found_.push_back({Kind, Operation.Id, std::move(Detail)});
+}
+
+std::vector<Violation> Checker::run() {
+  for (const HistoryOperation &Operation : Operations_)
+    checkReads(Operation);
+  for (const auto &[Key, Attempts] : Writes_)
+    checkWrite(Attempts);
+  return std::move(Found_);
+}
+
+bool Checker::wasTold(const std::string &Session, const std::string &Group,
+                      std::uint64_t After, std::uint64_t Before) const {
+  return std::any_of(Operations_.begin(), Operations_.end(),
+                     [&](const HistoryOperation &Operation) {
+                       return Operation.Session == Session &&
+                              Operation.Group == Group &&
+                              Operation.Error == "write_lost" &&
+                              Operation.AnsweredAt > After &&
+                              Operation.AnsweredAt <= Before;
+                     });
+}
+
+void Checker::checkReads(const HistoryOperation &Operation) {
+  std::map<std::string, std::string> Appended;
+  for (const HistoryStep &Step : Operation.Steps) {
+    if (isAppend(Step))
+      Appended[Step.List] = Step.Value;
+    if (!Step.Items)
+      continue;
+    const auto Pending = Appended.find(Step.List);
+    if (Pending != Appended.end() && countOf(*Step.Items, Pending->second) == 0)
+      report(ViolationKind::MixedTransaction, Operation,
+             "the transaction doesn't see its own " + Pending->second);
+    checkItems(Operation, Step);
+    checkOwnWrites(Operation, Step);
+  }
+}
+
+void Checker::checkItems(const HistoryOperation &Operation,
+                         const HistoryStep &Step) {
+  std::set<std::string> Seen;
+  for (const std::string &Value : *Step.Items) {
+    if (!Seen.insert(Value).second)
+      report(ViolationKind::DuplicateWrite, Operation,
+             Value + " is in " + Step.List + " more than once");
+    const auto Key = KeyOfValue_.find(Value);
+    if (!Value.starts_with(Step.List + "/") || Key == KeyOfValue_.end()) {
+      report(ViolationKind::WrongAnswer, Operation,
+             Value + " was never appended to " + Step.List);
+      continue;
+    }
+    const bool IsOwn = Key->second == Operation.Key;
+    if (!IsOwn && Writes_.at(Key->second).isReportedNotRun())
+      report(ViolationKind::RanAlthoughNotRun, Operation,
+             Value + " is in " + Step.List +
+                 " although its caller was told that it did not run");
+  }
+}
+
+void Checker::checkOwnWrites(const HistoryOperation &Operation,
+                             const HistoryStep &Step) {
+  const auto Own = AcknowledgedBySession_.find(Operation.Session);
+  if (Own == AcknowledgedBySession_.end())
+    return;
+  for (const HistoryOperation *Earlier : Own->second) {
+    if (Earlier->Group != Operation.Group ||
+        Earlier->AnsweredAt >= Operation.InvokedAt)
+      continue;
+    for (const HistoryStep &Written : Earlier->Steps) {
+      if (!isAppend(Written) || Written.List != Step.List ||
+          countOf(*Step.Items, Written.Value) > 0 ||
+          wasTold(Operation.Session, Operation.Group, Earlier->AnsweredAt,
+                  Operation.InvokedAt))
+        continue;
+      report(ViolationKind::StaleRead, Operation,
+             "the read of " + Step.List + " lacks " + Written.Value +
+                 ", which the session's own operation " + Earlier->Id +
+                 " had appended");
+    }
+  }
+}
+
+void Checker::checkWrite(const Write &Attempts) {
+  const HistoryOperation *Acknowledged = Attempts.acknowledged();
+  const HistoryOperation &Shown =
+      Acknowledged ? *Acknowledged : *Attempts.Attempts.front();
+  std::size_t Appends = 0;
+  std::size_t Present = 0;
+  for (const HistoryStep &Step : Shown.Steps) {
+    if (!isAppend(Step))
+      continue;
+    ++Appends;
+    const auto List = Final_.find({Shown.Group, Step.List});
+    if (List == Final_.end()) {
+      report(ViolationKind::Incomplete, Shown,
+             "there is no final read of " + Step.List);
+      return;
+    }
+    if (countOf(List->second, Step.Value) > 0)
+      ++Present;
+  }
+  if (Present > 0 && Present < Appends)
+    report(ViolationKind::MixedTransaction, Shown,
+           "only " + std::to_string(Present) + " of " +
+               std::to_string(Appends) + " statements took effect");
+  if (!Acknowledged)
+    return;
+  if (Present < Appends &&
+      !wasTold(Shown.Session, Shown.Group, Shown.AnsweredAt, UINT64_MAX))
+    report(ViolationKind::LostWrite, Shown,
+           "the acknowledged write is not in the final read");
+  for (const HistoryStep &Step : Shown.Steps)
+    checkLength(Shown, Step);
+}
+
+/// The length that an append returned names its place in the final list, so an
+/// answer of another request, or a foreign statement in between, shows.
+void Checker::checkLength(const HistoryOperation &Operation,
+                          const HistoryStep &Step) {
+  if (!isAppend(Step) || !Step.Length)
+    return;
+  const Items &List = Final_.at({Operation.Group, Step.List});
+  const auto Place = std::find(List.begin(), List.end(), Step.Value);
+  if (Place == List.end())
+    return;
+  const auto Length = static_cast<std::uint64_t>(Place - List.begin()) + 1;
+  if (Length == *Step.Length)
+    return;
+  report(Operation.IsTransaction ? ViolationKind::MixedTransaction
+                                 : ViolationKind::WrongAnswer,
+         Operation,
+         "the append to " + Step.List + " was told length " +
+             std::to_string(*Step.Length) + " but took place " +
+             std::to_string(Length));
+}
+
+std::vector<Violation>
+checkHistory(const std::vector<HistoryOperation> &Operations) {
+  return Checker(Operations).run();
+}
+
+} // namespace nutmegloom::testing
