--- a/bench/policy/nutmegloomsystem.cpp
+++ b/bench/policy/nutmegloomsystem.cpp
@@ -62,8 +62,7 @@
   Hooks.OpenConnection = [this](ConnectionId Connection,
                                 const DatabaseId &Database) {
     const Address Target = Addresses_.at(Database);
-    const Duration Cost =
-        Service_.Size.ConnectionCost + 2 * Service_.latency();
+    const Duration Cost = Service_.Size.ConnectionCost + 2 * Service_.latency();
     Connections_[Connection] = Target;
     Events_.after(Cost, [this, Connection] {
       Engine_->onConnectionOpened(Connection, Events_.now());
@@ -188,11 +187,10 @@
     Answer.Result = std::to_string(Answer.Index);
     Answer.Age = std::chrono::duration_cast<Milliseconds>(Database.age());
     Answer.Terms = {{1, 0}};
-    Events_.after(
-        Service_.latency(), [this, Connection, Answer] {
-          Engine_->onDatabaseAnswer(Connection, Answer, Events_.now());
-          afterInput();
-        });
+    Events_.after(Service_.latency(), [this, Connection, Answer] {
+      Engine_->onDatabaseAnswer(Connection, Answer, Events_.now());
+      afterInput();
+    });
   });
 }
 
