--- a/testing/scenario/scenario.lua
+++ b/testing/scenario/scenario.lua
@@ -367,6 +367,11 @@
   set_fault("platform", {outage = is_out})
 end
 
+-- Time that the store takes for each call.
+function slow_store(milliseconds)
+  set_fault("platform", {delay_ms = milliseconds})
+end
+
 -- Loses the answers of the next changes, after they took effect.
 function lose_answer(name, count)
   if name == "platform" then
--- a/testing/scenario/scenariorunner.cpp
+++ b/testing/scenario/scenariorunner.cpp
@@ -110,7 +110,8 @@
   const std::string Name = readLuaText(State, 1);
   const std::string Program = Build_ + "/" + readLuaText(State, 2);
   std::vector<std::string> Arguments;
-  for (const json &Argument : readLuaValue(State, 3))
+  const json Given = readLuaValue(State, 3);
+  for (const json &Argument : Given)
     Arguments.push_back(Argument.is_string() ? Argument.get<std::string>()
                                              : Argument.dump());
   Processes_.start(Name, Program, Arguments);
@@ -157,9 +158,9 @@
   Request.Target = readLuaField(State, 1, "path", "/");
   Request.Body = readLuaField(State, 1, "body", "");
   lua_getfield(State, 1, "headers");
-  if (lua_istable(State, -1))
-    for (const auto &[Name, Value] : readLuaValue(State, -1).items())
-      Request.Headers.emplace_back(Name, Value.get<std::string>());
+  const json Headers = readLuaValue(State, -1);
+  for (const auto &[Name, Value] : Headers.items())
+    Request.Headers.emplace_back(Name, Value.get<std::string>());
   lua_getfield(State, 1, "timeout_ms");
   const auto Timeout =
       lua_isinteger(State, -1) ? lua_tointeger(State, -1) : lua_Integer(10000);
--- a/testing/support/httpserver.cpp
+++ b/testing/support/httpserver.cpp
@@ -77,15 +77,15 @@
 
 class Server : public HttpServer, public std::enable_shared_from_this<Server> {
 public:
-  Server(asio::io_context &Io, const tcp::endpoint &Endpoint, Options Functions)
-      : Functions_(std::move(Functions)), Acceptor_(Io, Endpoint) {}
+  Server(asio::io_context &Io, const tcp::endpoint &Endpoint, Options Hooks)
+      : Functions(std::move(Hooks)), Acceptor_(Io, Endpoint) {}
 
   void accept();
   std::string address() const override;
   void freezeAll(std::uint64_t Except) override;
 
-  Options Functions_;
-  std::map<std::uint64_t, std::weak_ptr<Session>> Sessions_;
+  Options Functions;
+  std::map<std::uint64_t, std::weak_ptr<Session>> Sessions;
 
 private:
   tcp::acceptor Acceptor_;
@@ -95,9 +95,9 @@
 } // namespace
 
 Session::~Session() {
-  Owner_->Sessions_.erase(Id_);
-  if (Owner_->Functions_.OnClose)
-    Owner_->Functions_.OnClose(Id_);
+  Owner_->Sessions.erase(Id_);
+  if (Owner_->Functions.OnClose)
+    Owner_->Functions.OnClose(Id_);
 }
 
 void Session::start(std::chrono::milliseconds Delay) {
@@ -152,7 +152,7 @@
   Call.Body = Message.body();
   Call.Session = shared_from_this();
   InCall_ = true;
-  Owner_->Functions_.OnCall(Call);
+  Owner_->Functions.OnCall(Call);
 }
 
 Session::Response Session::makeResponse(const HttpReply &Reply) const {
@@ -217,9 +217,9 @@
           const std::uint64_t Id = Self->NextSession_++;
           const auto Opened =
               std::make_shared<Session>(std::move(Socket), Id, Self);
-          Self->Sessions_[Id] = Opened;
-          Opened->start(Self->Functions_.OnOpen ? Self->Functions_.OnOpen(Id)
-                                                : std::chrono::milliseconds(0));
+          Self->Sessions[Id] = Opened;
+          Opened->start(Self->Functions.OnOpen ? Self->Functions.OnOpen(Id)
+                                               : std::chrono::milliseconds(0));
         }
         Self->accept();
       });
@@ -231,7 +231,7 @@
 }
 
 void Server::freezeAll(std::uint64_t Except) {
-  for (const auto &[Id, Weak] : Sessions_)
+  for (const auto &[Id, Weak] : Sessions)
     if (const auto Open = Weak.lock(); Open && Id != Except)
       Open->freeze();
 }
--- a/testing/support/program.cpp
+++ b/testing/support/program.cpp
@@ -16,6 +16,7 @@
 void parseOptions(int Argc, char **Argv,
                   const std::vector<ProgramOption> &Options) {
   std::vector<poptOption> Table;
+  Table.reserve(Options.size() + 2);
   int Number = 0;
   for (const ProgramOption &Option : Options)
     Table.push_back({Option.Name, '\0', POPT_ARG_STRING, nullptr, ++Number,
--- a/tests/standindatabase/replicatedlogtest.cpp
+++ b/tests/standindatabase/replicatedlogtest.cpp
@@ -149,10 +149,9 @@
   }
 
   static std::string journalPath(const std::string &Name) {
-    const std::string Path =
-        (std::filesystem::temp_directory_path() /
-         ("nutmegloom-" + std::to_string(getpid()) + "-" + Name))
-            .string();
+    std::string Path = (std::filesystem::temp_directory_path() /
+                        ("nutmegloom-" + std::to_string(getpid()) + "-" + Name))
+                           .string();
     std::filesystem::remove(Path);
     return Path;
   }
