--- a/packages/core/concurrencylimit.h
+++ b/packages/core/concurrencylimit.h
@@ -19,7 +19,7 @@
   /// Ratio is its service time divided by the learned mean of its shape.
   void add(std::uint32_t Concurrency, double Ratio);
 
-  /// Statements to run at once; between 1 and the slots.
+  /// Statements to have under way at once.
   std::uint32_t limit() const { return Limit_; }
 
 private:
