--- a/packages/protocol/peer.capnp
+++ b/packages/protocol/peer.capnp
@@ -46,6 +46,19 @@
   fromReplica @12 :Bool;
 }
 
+struct Summary {
+  # What a heartbeat tells about another host than its sender.
+  host @0 :Text;
+  incarnation @1 :Text;
+  region @2 :Text;
+  zone @3 :Text;
+  peerAddress @4 :Text;
+  state @5 :Text;
+  configurationVersion @6 :UInt64;
+  ageMs @7 :UInt64;
+  suspected @8 :Bool;
+}
+
 struct Heartbeat {
   host @0 :Text;
   incarnation @1 :Text;
@@ -54,6 +67,7 @@
   peerAddress @4 :Text;
   state @5 :Text;
   configurationVersion @6 :UInt64;
+  known @7 :List(Summary);
 }
 
 struct Configuration {
--- a/packages/protocol/peer.capnp.h
+++ b/packages/protocol/peer.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(96803122636fb981);
 CAPNP_DECLARE_SCHEMA(ce9f3e21722aab55);
 CAPNP_DECLARE_SCHEMA(a0426c7dfa8f33c2);
+CAPNP_DECLARE_SCHEMA(87efcf14ac1ed65d);
 CAPNP_DECLARE_SCHEMA(fc6fc1f0eb3f1934);
 CAPNP_DECLARE_SCHEMA(a311aaa56b455004);
 CAPNP_DECLARE_SCHEMA(f7fce904a35e0e5c);
@@ -83,6 +84,21 @@
   };
 };
 
+struct Summary {
+  Summary() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(87efcf14ac1ed65d, 3, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -91,7 +107,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc6fc1f0eb3f1934, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(fc6fc1f0eb3f1934, 1, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -688,6 +704,152 @@
 };
 #endif  // !CAPNP_LITE
 
+class Summary::Reader {
+public:
+  typedef Summary Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
+
+  inline bool hasState() const;
+  inline  ::capnp::Text::Reader getState() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline  ::uint64_t getAgeMs() const;
+
+  inline bool getSuspected() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Summary::Builder {
+public:
+  typedef Summary Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+
+  inline bool hasState();
+  inline  ::capnp::Text::Builder getState();
+  inline void setState( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initState(unsigned int size);
+  inline void adoptState(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownState();
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
+
+  inline bool getSuspected();
+  inline void setSuspected(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Summary::Pipeline {
+public:
+  typedef Summary Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -725,6 +887,9 @@
 
   inline  ::uint64_t getConfigurationVersion() const;
 
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -798,6 +963,13 @@
   inline  ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::uint64_t value);
 
+  inline bool hasKnown();
+  inline  ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>> disownKnown();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2262,6 +2434,252 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Summary::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Summary::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Summary::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Summary::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Summary::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Summary::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Summary::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Summary::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Summary::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Summary::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Summary::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Summary::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Summary::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Summary::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Summary::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Summary::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Summary::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Summary::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Summary::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Summary::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Summary::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Summary::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Summary::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Summary::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Summary::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Summary::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Summary::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Summary::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setState( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Summary::Builder::initState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptState(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Summary::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Summary::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Summary::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Summary::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Summary::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Summary::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Summary::Builder::setAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Summary::Reader::getSuspected() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Summary::Builder::getSuspected() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Summary::Builder::setSuspected(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2480,6 +2898,40 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasKnown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasKnown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setKnown( ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::Summary,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/packages/protocol/peerloop.cpp
@@ -0,0 +1,468 @@
+#include "protocol/peerloop.h"
+
+#include "protocol/peercodec.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace nutmegloom {
+
+using Configuration = std::pair<std::uint64_t, std::string>;
+
+/// A statement and a configuration have at most 1 MiB each; the rest is room
+/// for the other fields. A longer message ends the connection.
+static constexpr std::uint64_t MessageBytes = std::uint64_t(4) << 20;
+/// Calls of one connection that are not yet answered may hold this much. The
+/// connection is not read while they hold more.
+static constexpr std::uint64_t UnansweredBytes = 4 * MessageBytes;
+static constexpr std::size_t AcceptedConnections = 16384;
+
+static constexpr auto ConnectTimeout = 1 * kj::SECONDS;
+static constexpr auto HeartbeatTimeout = 1 * kj::SECONDS;
+static constexpr auto ConfigurationTimeout = 2 * kj::SECONDS;
+/// The owner answers at the deadline; its answer needs time to arrive.
+static constexpr auto ExecuteGrace = 500 * kj::MILLISECONDS;
+static constexpr auto FirstBackOff = 100 * kj::MILLISECONDS;
+static constexpr auto LongestBackOff = 2 * kj::SECONDS;
+/// Accepting fails while the process has no free descriptors.
+static constexpr auto AcceptRetry = 100 * kj::MILLISECONDS;
+static constexpr auto IdleTime = 60 * kj::SECONDS;
+static constexpr auto IdleCheck = 10 * kj::SECONDS;
+
+bool PeerMailbox::post(Work Item) {
+  const std::lock_guard Lock(Mutex_);
+  if (Closed_)
+    return false;
+  Waiting_.push_back(std::move(Item));
+  KJ_IF_MAYBE (Fulfiller, Wakeup_) {
+    (*Fulfiller)->fulfill();
+    Wakeup_ = nullptr;
+  }
+  return true;
+}
+
+kj::Promise<void> PeerMailbox::whenPosted() {
+  const std::lock_guard Lock(Mutex_);
+  if (!Waiting_.empty())
+    return kj::READY_NOW;
+  auto Pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+  Wakeup_ = kj::mv(Pair.fulfiller);
+  return kj::mv(Pair.promise);
+}
+
+std::deque<PeerMailbox::Work> PeerMailbox::take() {
+  const std::lock_guard Lock(Mutex_);
+  return std::exchange(Waiting_, {});
+}
+
+void PeerMailbox::close() {
+  const std::lock_guard Lock(Mutex_);
+  Closed_ = true;
+  Waiting_.clear();
+  Wakeup_ = nullptr;
+}
+
+/// Fails the present call, not the connection.
+static void require(bool Condition, const char *Detail) {
+  if (!Condition)
+    kj::throwFatalException(KJ_EXCEPTION(FAILED, Detail));
+}
+
+static capnp::ReaderOptions receiveOptions() {
+  capnp::ReaderOptions Options;
+  Options.traversalLimitInWords = MessageBytes / sizeof(capnp::word);
+  return Options;
+}
+
+/// Lets the kernel end connections to machines that are gone.
+static void keepAlive(kj::AsyncIoStream &Stream) {
+  constexpr int On = 1;
+  constexpr int IdleSeconds = 10;
+  constexpr int IntervalSeconds = 5;
+  constexpr int Probes = 3;
+  const auto Set = [&](int Level, int Option, const int &Value) {
+    Stream.setsockopt(Level, Option, &Value, sizeof(Value));
+  };
+  Set(SOL_SOCKET, SO_KEEPALIVE, On);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, IdleSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, IntervalSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPCNT, Probes);
+}
+
+/// True for "IP:port". KJ would also look names up and open local sockets, and
+/// addresses come from peers.
+static bool isPeerAddress(const std::string &Address) {
+  const std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  std::string Ip = Address.substr(0, Colon);
+  if (Ip.size() > 2 && Ip.front() == '[' && Ip.back() == ']')
+    Ip = Ip.substr(1, Ip.size() - 2);
+  boost::system::error_code Error;
+  boost::asio::ip::make_address(Ip, Error);
+  std::uint16_t Port = 0;
+  const char *End = Address.data() + Address.size();
+  const auto Parsed = std::from_chars(Address.data() + Colon + 1, End, Port);
+  return !Error && Parsed.ec == std::errc() && Parsed.ptr == End;
+}
+
+/// A connection that this host has opened.
+struct PeerLoop::Connection {
+  kj::Own<kj::AsyncIoStream> Stream;
+  kj::Own<capnp::TwoPartyVatNetwork> Network;
+  kj::Own<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> System;
+  kj::Maybe<wire::Peer::Client> Client;
+  kj::ForkedPromise<void> Ready = kj::Promise<void>(kj::READY_NOW).fork();
+  bool Open = false;
+
+  void open(kj::Own<kj::AsyncIoStream> Connected) {
+    Stream = kj::mv(Connected);
+    keepAlive(*Stream);
+    Network = kj::heap<capnp::TwoPartyVatNetwork>(
+        *Stream, capnp::rpc::twoparty::Side::CLIENT, receiveOptions());
+    System = kj::heap(capnp::makeRpcClient(*Network));
+    capnp::MallocMessageBuilder Message;
+    auto Id = Message.initRoot<capnp::rpc::twoparty::VatId>();
+    Id.setSide(capnp::rpc::twoparty::Side::SERVER);
+    Client = System->bootstrap(Id).castAs<wire::Peer>();
+    Open = true;
+  }
+
+  /// Fails the calls that wait for an answer.
+  void close() {
+    Open = false;
+    Client = nullptr;
+    System = nullptr;
+    Network = nullptr;
+    Stream = nullptr;
+  }
+};
+
+struct PeerLoop::Peer {
+  std::shared_ptr<Connection> Link;
+  kj::Duration BackOff = 0 * kj::SECONDS;
+  kj::TimePoint RetryAt = kj::origin<kj::TimePoint>();
+  kj::TimePoint UsedAt = kj::origin<kj::TimePoint>();
+  std::size_t Calls = 0;
+};
+
+/// A connection that a peer has opened.
+struct PeerLoop::Accepted {
+  kj::Own<kj::AsyncIoStream> Stream;
+  capnp::TwoPartyVatNetwork Network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> System;
+
+  Accepted(kj::Own<kj::AsyncIoStream> Connected, capnp::Capability::Client Root)
+      : Stream(kj::mv(Connected)),
+        Network(*Stream, capnp::rpc::twoparty::Side::SERVER, receiveOptions()),
+        System(capnp::makeRpcServer(Network, kj::mv(Root))) {
+    System.setFlowLimit(UnansweredBytes / sizeof(capnp::word));
+  }
+};
+
+class PeerLoop::Server : public wire::Peer::Server {
+public:
+  explicit Server(PeerLoop &Loop) : Loop_(Loop) {}
+
+protected:
+  kj::Promise<void> execute(ExecuteContext Context) override {
+    std::optional<CallerRequest> Request = readPeerMessage(
+        Context.getParams().getRequest(), std::chrono::steady_clock::now());
+    require(Request.has_value(), "the request has unknown names");
+    Context.releaseParams();
+    Context.allowCancellation();
+    const std::uint64_t Call = Loop_.NextCall_++;
+    auto Pair = kj::newPromiseAndCrossThreadFulfiller<CallerAnswer>();
+    Loop_.Service_->Execute(Call, std::move(*Request), share(Pair.fulfiller));
+    return Pair.promise
+        .then([Context](const CallerAnswer &Answer) mutable {
+          require(Answer.Body.size() + Answer.Detail.size() < MessageBytes / 2,
+                  "the answer is too large");
+          writePeerMessage(Answer, Context.getResults().initAnswer());
+        })
+        .attach(
+            // The call may outlive the loop by a few destructors.
+            kj::defer(
+                [Service = Loop_.Service_, Call] { Service->Cancel(Call); }));
+  }
+
+  kj::Promise<void> heartbeat(HeartbeatContext Context) override {
+    std::optional<PeerHeartbeat> Beat =
+        readPeerMessage(Context.getParams().getHeartbeat());
+    require(Beat.has_value(), "the heartbeat has unknown names");
+    auto Pair = kj::newPromiseAndCrossThreadFulfiller<PeerHeartbeat>();
+    Loop_.Service_->Heartbeat(std::move(*Beat), share(Pair.fulfiller));
+    return Pair.promise.then([Context](const PeerHeartbeat &Own) mutable {
+      writePeerMessage(Own, Context.getResults().initHeartbeat());
+    });
+  }
+
+  kj::Promise<void> getConfiguration(GetConfigurationContext Context) override {
+    auto Pair = kj::newPromiseAndCrossThreadFulfiller<Configuration>();
+    Loop_.Service_->Configuration(share(Pair.fulfiller));
+    return Pair.promise.then([Context](const Configuration &Own) mutable {
+      require(Own.second.size() < MessageBytes / 2,
+              "the configuration is too large");
+      auto Result = Context.getResults().initConfiguration();
+      Result.setVersion(Own.first);
+      Result.setText(Own.second);
+    });
+  }
+
+private:
+  template <typename T>
+  static std::shared_ptr<kj::Own<T>> share(kj::Own<T> &Fulfiller) {
+    return std::make_shared<kj::Own<T>>(kj::mv(Fulfiller));
+  }
+
+  PeerLoop &Loop_;
+};
+
+PeerLoop::PeerLoop(kj::AsyncIoContext &Context, PeerMailbox &Mailbox)
+    : Context_(Context), Timer_(Context.provider->getTimer()),
+      Mailbox_(Mailbox), Tasks_(*this) {
+  Tasks_.add(closeIdle());
+}
+
+PeerLoop::~PeerLoop() noexcept(false) = default;
+
+void PeerLoop::taskFailed(kj::Exception &&) {
+  // Tasks report their failures themselves; what remains concerns a connection
+  // that has ended.
+}
+
+void PeerLoop::run() {
+  while (!Stopped_) {
+    Mailbox_.whenPosted().wait(Context_.waitScope);
+    for (const PeerMailbox::Work &Item : Mailbox_.take())
+      // A failure that is not reported elsewhere must not end the loop.
+      (void)kj::runCatchingExceptions([&] { Item(*this); });
+  }
+}
+
+void PeerLoop::listen(
+    const std::string &Address, PeerLoopService Service,
+    const std::function<void(std::variant<std::string, PeerNetwork::Failure>)>
+        &Handler) {
+  if (!isPeerAddress(Address)) {
+    Handler(PeerNetwork::Failure{false, "address \"" + Address +
+                                            "\" is not of the form IP:port"});
+    return;
+  }
+  Service_ = std::make_shared<const PeerLoopService>(std::move(Service));
+  Tasks_.add(
+      parse(Address)
+          .then([this, Address, Handler](kj::Own<kj::NetworkAddress> Parsed) {
+            Receiver_ = Parsed->listen();
+            Handler(Address.substr(0, Address.rfind(':') + 1) +
+                    std::to_string(Receiver_->getPort()));
+            Tasks_.add(acceptAll());
+          })
+          .catch_([Handler](kj::Exception &&Failure) {
+            Handler(
+                PeerNetwork::Failure{false, Failure.getDescription().cStr()});
+          }));
+}
+
+kj::Promise<kj::Own<kj::NetworkAddress>>
+PeerLoop::parse(const std::string &Address) {
+  return kj::evalNow(
+      [&] { return Context_.provider->getNetwork().parseAddress(Address); });
+}
+
+kj::Promise<void> PeerLoop::acceptAll() {
+  return Receiver_->accept().then(
+      [this](kj::Own<kj::AsyncIoStream> Stream) {
+        serve(kj::mv(Stream));
+        return acceptAll();
+      },
+      [this](kj::Exception &&) {
+        return Timer_.afterDelay(AcceptRetry).then([this] {
+          return acceptAll();
+        });
+      });
+}
+
+void PeerLoop::serve(kj::Own<kj::AsyncIoStream> Stream) {
+  if (AcceptedCount_ >= AcceptedConnections)
+    return;
+  keepAlive(*Stream);
+  ++AcceptedCount_;
+  auto Serving = kj::heap<Accepted>(kj::mv(Stream), kj::heap<Server>(*this));
+  auto Gone = Serving->Network.onDisconnect();
+  Tasks_.add(
+      Gone.attach(kj::mv(Serving), kj::defer([this] { --AcceptedCount_; })));
+}
+
+std::shared_ptr<PeerLoop::Connection>
+PeerLoop::connect(const std::string &Address) {
+  if (!isPeerAddress(Address))
+    return nullptr;
+  Peer &Target = Peers_[Address];
+  Target.UsedAt = Timer_.now();
+  if (Target.Link)
+    return Target.Link;
+  if (Timer_.now() < Target.RetryAt)
+    return nullptr;
+  auto Link = std::make_shared<Connection>();
+  Target.Link = Link;
+  auto Opened = parse(Address).then([](kj::Own<kj::NetworkAddress> Parsed) {
+    auto Connected = Parsed->connect();
+    return Connected.attach(kj::mv(Parsed));
+  });
+  Link->Ready = Timer_.timeoutAfter(ConnectTimeout, kj::mv(Opened))
+                    .then([this, Address, Weak = std::weak_ptr(Link)](
+                              kj::Own<kj::AsyncIoStream> Stream) {
+                      const auto Opening = Weak.lock();
+                      if (!Opening)
+                        return;
+                      Opening->open(kj::mv(Stream));
+                      const auto Broken = [this, Address, Weak] {
+                        if (const auto Current = Weak.lock())
+                          drop(Address, Current);
+                      };
+                      Tasks_.add(Opening->Network->onDisconnect().then(
+                          [Broken] { Broken(); },
+                          [Broken](kj::Exception &&) { Broken(); }));
+                    })
+                    .fork();
+  return Link;
+}
+
+void PeerLoop::drop(const std::string &Address,
+                    const std::shared_ptr<Connection> &Link) {
+  const auto Found = Peers_.find(Address);
+  if (Found == Peers_.end() || Found->second.Link != Link)
+    return;
+  Peer &Target = Found->second;
+  Target.Link.reset();
+  Target.BackOff = std::clamp<kj::Duration>(Target.BackOff * 2, FirstBackOff,
+                                            LongestBackOff);
+  Target.RetryAt = Timer_.now() + Target.BackOff;
+  // Later, because the present event may belong to the connection.
+  Tasks_.add(kj::evalLater([Link] { Link->close(); }));
+}
+
+template <typename T, typename Send>
+void PeerLoop::call(const std::string &Address, kj::Duration Timeout,
+                    bool TimeoutBreaks, Send Start, Handler<T> Done) {
+  const std::shared_ptr<Connection> Link = connect(Address);
+  if (!Link) {
+    Done(PeerNetwork::Failure{false, "no connection to " + Address});
+    return;
+  }
+  ++Peers_[Address].Calls;
+  const auto Sent = std::make_shared<bool>(false);
+  kj::Promise<T> Result = Link->Ready.addBranch().then(
+      [Link, Sent, Start = std::move(Start)]() mutable -> kj::Promise<T> {
+        KJ_IF_MAYBE (Client, Link->Client) {
+          *Sent = true;
+          return Start(*Client);
+        }
+        return KJ_EXCEPTION(DISCONNECTED, "the connection was closed");
+      });
+  Tasks_.add(
+      Timer_.timeoutAfter(Timeout, kj::mv(Result))
+          .then(
+              [this, Address, Done](T Value) {
+                Peers_[Address].BackOff = 0 * kj::SECONDS;
+                Done(std::move(Value));
+              },
+              [this, Address, Link, Sent, TimeoutBreaks,
+               Done](kj::Exception &&Failure) {
+                // OVERLOADED is the type of KJ's timeouts. A heartbeat without
+                // a reply shows that the connection is of no more use; a slow
+                // statement does not.
+                if (!*Sent ||
+                    Failure.getType() == kj::Exception::Type::DISCONNECTED ||
+                    (TimeoutBreaks &&
+                     Failure.getType() == kj::Exception::Type::OVERLOADED))
+                  drop(Address, Link);
+                Done(PeerNetwork::Failure{*Sent,
+                                          Failure.getDescription().cStr()});
+              })
+          .attach(kj::defer([this, Address] {
+            if (const auto Found = Peers_.find(Address); Found != Peers_.end())
+              --Found->second.Calls;
+          })));
+}
+
+void PeerLoop::execute(const std::string &Address, const CallerRequest &Request,
+                       Handler<CallerAnswer> Handler) {
+  if (Request.Statement.size() >= MessageBytes / 2) {
+    Handler(PeerNetwork::Failure{false, "the statement is too large"});
+    return;
+  }
+  const TimePoint Now = std::chrono::steady_clock::now();
+  const auto Left = std::chrono::duration_cast<Milliseconds>(
+      std::max(Request.Deadline - Now, Duration(0)));
+  call<CallerAnswer>(
+      Address, Left.count() * kj::MILLISECONDS + ExecuteGrace, false,
+      [Request](wire::Peer::Client &Client) {
+        auto Call = Client.executeRequest();
+        writePeerMessage(Request, std::chrono::steady_clock::now(),
+                         Call.initRequest());
+        return Call.send().then([](auto &&Response) {
+          std::optional<CallerAnswer> Answer =
+              readPeerMessage(Response.getAnswer());
+          require(Answer.has_value(), "the answer has unknown names");
+          return std::move(*Answer);
+        });
+      },
+      std::move(Handler));
+}
+
+void PeerLoop::heartbeat(const std::string &Address, const PeerHeartbeat &Beat,
+                         Handler<PeerHeartbeat> Handler) {
+  call<PeerHeartbeat>(
+      Address, HeartbeatTimeout, true,
+      [Beat](wire::Peer::Client &Client) {
+        auto Call = Client.heartbeatRequest();
+        writePeerMessage(Beat, Call.initHeartbeat());
+        return Call.send().then([](auto &&Response) {
+          std::optional<PeerHeartbeat> Reply =
+              readPeerMessage(Response.getHeartbeat());
+          require(Reply.has_value(), "the heartbeat has unknown names");
+          return std::move(*Reply);
+        });
+      },
+      std::move(Handler));
+}
+
+void PeerLoop::getConfiguration(const std::string &Address,
+                                Handler<Configuration> Handler) {
+  call<Configuration>(
+      Address, ConfigurationTimeout, false,
+      [](wire::Peer::Client &Client) {
+        return Client.getConfigurationRequest().send().then(
+            [](auto &&Response) {
+              const auto Result = Response.getConfiguration();
+              const auto Text = Result.getText();
+              return Configuration(Result.getVersion(),
+                                   std::string(Text.begin(), Text.size()));
+            });
+      },
+      std::move(Handler));
+}
+
+kj::Promise<void> PeerLoop::closeIdle() {
+  return Timer_.afterDelay(IdleCheck).then([this] {
+    std::erase_if(Peers_, [this](const auto &Entry) {
+      const Peer &Target = Entry.second;
+      if (Target.Calls > 0 || Timer_.now() - Target.UsedAt < IdleTime)
+        return false;
+      if (Target.Link)
+        Tasks_.add(kj::evalLater([Link = Target.Link] { Link->close(); }));
+      return true;
+    });
+    return closeIdle();
+  });
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/protocol/peerloop.h
@@ -0,0 +1,111 @@
+#ifndef NUTMEGLOOM_PROTOCOL_PEERLOOP_H
+#define NUTMEGLOOM_PROTOCOL_PEERLOOP_H
+
+#include "protocol/peer.capnp.h"
+#include "protocol/peernetwork.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <deque>
+#include <map>
+#include <mutex>
+
+namespace nutmegloom {
+
+class PeerLoop;
+
+/// Hands work to the thread of the KJ event loop.
+class PeerMailbox {
+public:
+  using Work = std::function<void(PeerLoop &)>;
+
+  /// False when the loop has ended.
+  bool post(Work Item);
+  /// Resolves once work is waiting. Called by the loop's thread.
+  kj::Promise<void> whenPosted();
+  std::deque<Work> take();
+  /// Refuses further work.
+  void close();
+
+private:
+  std::mutex Mutex_;
+  std::deque<Work> Waiting_;
+  bool Closed_ = false;
+  kj::Maybe<kj::Own<kj::CrossThreadPromiseFulfiller<void>>> Wakeup_;
+};
+
+/// Answers of the other thread to what peers ask. Each function is called on
+/// the loop's thread and fulfills from any thread.
+struct PeerLoopService {
+  template <typename T>
+  using Fulfiller =
+      std::shared_ptr<kj::Own<kj::CrossThreadPromiseFulfiller<T>>>;
+
+  std::function<void(std::uint64_t Call, CallerRequest,
+                     Fulfiller<CallerAnswer>)>
+      Execute;
+  /// The peer that waits for the call has gone.
+  std::function<void(std::uint64_t Call)> Cancel;
+  std::function<void(PeerHeartbeat, Fulfiller<PeerHeartbeat>)> Heartbeat;
+  std::function<void(Fulfiller<std::pair<std::uint64_t, std::string>>)>
+      Configuration;
+};
+
+/// Connections and calls of one host, on the thread of the KJ event loop.
+class PeerLoop : private kj::TaskSet::ErrorHandler {
+public:
+  template <typename T>
+  using Handler = std::function<void(std::variant<T, PeerNetwork::Failure>)>;
+
+  PeerLoop(kj::AsyncIoContext &Context, PeerMailbox &Mailbox);
+  ~PeerLoop() noexcept(false);
+
+  /// Runs posted work until stop is called.
+  void run();
+  void stop() { Stopped_ = true; }
+
+  void listen(
+      const std::string &Address, PeerLoopService Service,
+      const std::function<void(std::variant<std::string, PeerNetwork::Failure>)>
+          &Handler);
+  void execute(const std::string &Address, const CallerRequest &Request,
+               Handler<CallerAnswer> Handler);
+  void heartbeat(const std::string &Address, const PeerHeartbeat &Beat,
+                 Handler<PeerHeartbeat> Handler);
+  void getConfiguration(const std::string &Address,
+                        Handler<std::pair<std::uint64_t, std::string>> Handler);
+
+private:
+  struct Connection;
+  struct Peer;
+  struct Accepted;
+  class Server;
+
+  template <typename T, typename Send>
+  void call(const std::string &Address, kj::Duration Timeout,
+            bool TimeoutBreaks, Send Start, Handler<T> Done);
+  kj::Promise<kj::Own<kj::NetworkAddress>> parse(const std::string &Address);
+  std::shared_ptr<Connection> connect(const std::string &Address);
+  void drop(const std::string &Address,
+            const std::shared_ptr<Connection> &Link);
+  kj::Promise<void> acceptAll();
+  void serve(kj::Own<kj::AsyncIoStream> Stream);
+  kj::Promise<void> closeIdle();
+  void taskFailed(kj::Exception &&Failure) override;
+
+  kj::AsyncIoContext &Context_;
+  kj::Timer &Timer_;
+  PeerMailbox &Mailbox_;
+  bool Stopped_ = false;
+  std::shared_ptr<const PeerLoopService> Service_;
+  std::uint64_t NextCall_ = 1;
+  std::map<std::string, Peer> Peers_;
+  std::size_t AcceptedCount_ = 0;
+  kj::Own<kj::ConnectionReceiver> Receiver_;
+  kj::TaskSet Tasks_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_PROTOCOL_PEERLOOP_H
--- /dev/null
+++ b/tests/peers/peernetworktest.cpp
@@ -0,0 +1,296 @@
+#include "protocol/peernetwork.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+namespace {
+
+using Configuration = std::pair<std::uint64_t, std::string>;
+using Failure = PeerNetwork::Failure;
+
+/// A host that serves peers; Execute keeps the answer function.
+struct TestHost {
+  std::shared_ptr<PeerNetwork> Network;
+  std::string Address;
+  std::optional<CallerRequest> Request;
+  PeerNetwork::AnswerFunction Answer;
+  bool Cancelled = false;
+  std::optional<PeerHeartbeat> Beat;
+
+  explicit TestHost(boost::asio::io_context &Io,
+                    const std::string &ListenAddress = "127.0.0.1:0")
+      : Network(makePeerNetwork(Io, ListenAddress)) {
+    PeerNetwork::Service Service;
+    Service.Execute = [this](const CallerRequest &Arrived,
+                             PeerNetwork::AnswerFunction Function) {
+      Request = Arrived;
+      Answer = std::move(Function);
+      return [this] { Cancelled = true; };
+    };
+    Service.Heartbeat = [this](const PeerHeartbeat &Arrived) {
+      Beat = Arrived;
+      return PeerHeartbeat{"own", "2", {}, {}, Address, HostState::Ready,
+                           3,     {}};
+    };
+    Service.Configuration = [] { return Configuration(7, "text"); };
+    const auto Listening = Network->listen(Service);
+    CPPUNIT_ASSERT(std::holds_alternative<std::string>(Listening));
+    Address = std::get<std::string>(Listening);
+  }
+  ~TestHost() { Network->stop(); }
+};
+
+} // namespace
+
+class PeerNetworkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerNetworkTest);
+  CPPUNIT_TEST(carriesEveryFieldOfATask);
+  CPPUNIT_TEST(exchangesHeartbeatsAndConfigurations);
+  CPPUNIT_TEST(saysNotSentWhenThePeerIsNotReached);
+  CPPUNIT_TEST(saysSentWhenThePeerGoesAwayDuringATask);
+  CPPUNIT_TEST(cancelsATaskWhoseCallerGaveUp);
+  CPPUNIT_TEST(servesOthersAfterBadInput);
+  CPPUNIT_TEST(servesAfterAnAnswerThatIsTooLarge);
+  CPPUNIT_TEST(reconnectsAfterAPeerRestarts);
+  CPPUNIT_TEST_SUITE_END();
+
+  boost::asio::io_context Io_;
+  // Keeps the context running while only the peers' threads have work.
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Guard_ = boost::asio::make_work_guard(Io_);
+
+  void runUntil(const std::function<bool()> &IsDone) {
+    while (!IsDone())
+      Io_.run_one();
+  }
+
+  template <typename T> struct Holder {
+    std::optional<std::variant<T, Failure>> Value;
+    auto handler() {
+      return [this](std::variant<T, Failure> Arrived) {
+        Value = std::move(Arrived);
+      };
+    }
+  };
+
+  std::variant<CallerAnswer, Failure> execute(PeerNetwork &From,
+                                              const std::string &Address,
+                                              const CallerRequest &Request) {
+    Holder<CallerAnswer> Result;
+    From.execute(Address, Request, Result.handler());
+    runUntil([&] { return Result.Value.has_value(); });
+    return *Result.Value;
+  }
+
+  std::variant<Configuration, Failure> fetch(PeerNetwork &From,
+                                             const std::string &Address) {
+    Holder<Configuration> Result;
+    From.getConfiguration(Address, Result.handler());
+    runUntil([&] { return Result.Value.has_value(); });
+    return *Result.Value;
+  }
+
+  static CallerRequest makeRequest() {
+    CallerRequest Request;
+    Request.Step = RequestStep::Commit;
+    Request.Group = "salas-db/1";
+    Request.Kind = StatementKind::Write;
+    Request.Statement = "{\"op\":\"get\"}";
+    Request.Shape = 11;
+    Request.MaximumAge = Milliseconds(12);
+    Request.Required = Position{3, 14};
+    Request.Key = "key";
+    Request.Fingerprint = 15;
+    Request.Transaction = "transaction";
+    Request.WorkClass = "panel";
+    Request.Caller = "caller";
+    Request.Deadline = std::chrono::steady_clock::now() + Milliseconds(30000);
+    Request.TraceParent = "trace";
+    return Request;
+  }
+
+  // A field that is not carried would be lost between entry and owner.
+  void carriesEveryFieldOfATask() {
+    TestHost Owner(Io_);
+    TestHost Entry(Io_);
+    const CallerRequest Request = makeRequest();
+    Holder<CallerAnswer> Result;
+    Entry.Network->execute(Owner.Address, Request, Result.handler());
+    runUntil([&] { return Owner.Request.has_value(); });
+    const CallerRequest &Arrived = *Owner.Request;
+    CPPUNIT_ASSERT(Arrived.Step == Request.Step);
+    CPPUNIT_ASSERT(Arrived.Group == Request.Group);
+    CPPUNIT_ASSERT(Arrived.Kind == Request.Kind);
+    CPPUNIT_ASSERT(Arrived.Statement == Request.Statement);
+    CPPUNIT_ASSERT(Arrived.Shape == Request.Shape);
+    CPPUNIT_ASSERT(Arrived.MaximumAge == Request.MaximumAge);
+    CPPUNIT_ASSERT(Arrived.Required == Request.Required);
+    CPPUNIT_ASSERT(Arrived.Key == Request.Key);
+    CPPUNIT_ASSERT(Arrived.Fingerprint == Request.Fingerprint);
+    CPPUNIT_ASSERT(Arrived.Transaction == Request.Transaction);
+    CPPUNIT_ASSERT(Arrived.WorkClass == Request.WorkClass);
+    CPPUNIT_ASSERT(Arrived.Caller == Request.Caller);
+    CPPUNIT_ASSERT(Arrived.TraceParent == Request.TraceParent);
+    CPPUNIT_ASSERT(Arrived.Deadline > std::chrono::steady_clock::now());
+
+    const CallerAnswer Answer{
+        Outcome::NotRun, ErrorCode::Overloaded, "detail",        "body",
+        Position{4, 5},  "salas-db-2",          Milliseconds(6), true,
+        "transaction",   Milliseconds(7),       "lima",          true};
+    Owner.Answer(Answer);
+    runUntil([&] { return Result.Value.has_value(); });
+    const auto &Got = std::get<CallerAnswer>(*Result.Value);
+    CPPUNIT_ASSERT(Got.Result == Answer.Result && Got.Error == Answer.Error);
+    CPPUNIT_ASSERT(Got.Detail == Answer.Detail && Got.Body == Answer.Body);
+    CPPUNIT_ASSERT(Got.Seen == Answer.Seen && Got.Age == Answer.Age);
+    CPPUNIT_ASSERT(Got.Database == Answer.Database);
+    CPPUNIT_ASSERT(Got.Replayed == Answer.Replayed);
+    CPPUNIT_ASSERT(Got.Transaction == Answer.Transaction);
+    CPPUNIT_ASSERT(Got.RetryAfter == Answer.RetryAfter);
+    CPPUNIT_ASSERT(Got.RedirectRegion == Answer.RedirectRegion);
+    CPPUNIT_ASSERT(Got.FromReplica == Answer.FromReplica);
+    CPPUNIT_ASSERT(!Owner.Cancelled);
+  }
+
+  // A summary that is not carried would hide hosts that share only a seed.
+  void exchangesHeartbeatsAndConfigurations() {
+    TestHost Near(Io_);
+    TestHost Far(Io_);
+    PeerHeartbeat Beat{"near",
+                       "1",
+                       "lima",
+                       "lima-miraflores",
+                       Near.Address,
+                       HostState::Leaving,
+                       9,
+                       {}};
+    Beat.Known.push_back({"third", "4", "lima", "lima-sanisidro", "127.0.0.1:1",
+                          HostState::Ready, 8, Milliseconds(20), true});
+    Holder<PeerHeartbeat> Result;
+    Near.Network->heartbeat(Far.Address, Beat, Result.handler());
+    runUntil([&] { return Result.Value.has_value(); });
+    CPPUNIT_ASSERT(std::get<PeerHeartbeat>(*Result.Value).Host == "own");
+    CPPUNIT_ASSERT(Far.Beat->State == HostState::Leaving);
+    CPPUNIT_ASSERT(Far.Beat->Zone == Beat.Zone &&
+                   Far.Beat->ConfigurationVersion == 9);
+    CPPUNIT_ASSERT(Far.Beat->Known.size() == 1);
+    const PeerSummary &Known = Far.Beat->Known.front();
+    CPPUNIT_ASSERT(Known.Host == "third" && Known.Suspected &&
+                   Known.Age == Milliseconds(20));
+    CPPUNIT_ASSERT(std::get<Configuration>(fetch(*Near.Network, Far.Address)) ==
+                   Configuration(7, "text"));
+  }
+
+  // "Sent" for a write that never left would cost a settlement; "not sent" for
+  // one that may have arrived would run it twice.
+  void saysNotSentWhenThePeerIsNotReached() {
+    TestHost Entry(Io_);
+    std::string Address;
+    {
+      TestHost Gone(Io_);
+      Address = Gone.Address;
+    }
+    for (const std::string &Target :
+         {Address, std::string("unix:/tmp/x"), std::string("localhost:1"),
+          std::string()}) {
+      const auto Result = execute(*Entry.Network, Target, makeRequest());
+      CPPUNIT_ASSERT(!std::get<Failure>(Result).Sent);
+    }
+  }
+
+  void saysSentWhenThePeerGoesAwayDuringATask() {
+    TestHost Entry(Io_);
+    TestHost Owner(Io_);
+    Holder<CallerAnswer> Result;
+    Entry.Network->execute(Owner.Address, makeRequest(), Result.handler());
+    runUntil([&] { return Owner.Request.has_value(); });
+    Owner.Network->stop();
+    runUntil([&] { return Result.Value.has_value(); });
+    CPPUNIT_ASSERT(std::get<Failure>(*Result.Value).Sent);
+  }
+
+  // Without a timeout and a cancellation a silent owner would hold the call,
+  // and the owner would work for nobody.
+  void cancelsATaskWhoseCallerGaveUp() {
+    TestHost Entry(Io_);
+    TestHost Owner(Io_);
+    CallerRequest Request = makeRequest();
+    Request.Deadline = std::chrono::steady_clock::now();
+    const auto Result = execute(*Entry.Network, Owner.Address, Request);
+    CPPUNIT_ASSERT(std::get<Failure>(Result).Sent);
+    runUntil([&] { return Owner.Cancelled; });
+  }
+
+  void servesOthersAfterBadInput() {
+    TestHost Entry(Io_);
+    TestHost Owner(Io_);
+    using boost::asio::ip::tcp;
+    const auto Port = static_cast<std::uint16_t>(
+        std::stoi(Owner.Address.substr(Owner.Address.rfind(':') + 1)));
+    // No protocol at all, a segment table that claims 16 GiB, and a truncated
+    // message.
+    for (const std::string &Bytes :
+         {std::string("GET / HTTP/1.1\r\n\r\n"),
+          std::string("\0\0\0\0\xff\xff\xff\x7f", 8),
+          std::string("\0\0\0\0\x01\0\0\0\0\0", 10)}) {
+      tcp::socket Socket(Io_);
+      Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+      boost::asio::write(Socket, boost::asio::buffer(Bytes));
+      // The peer closes the connection, perhaps before this side does.
+      boost::system::error_code Error;
+      Socket.shutdown(tcp::socket::shutdown_send, Error);
+      std::array<char, 4096> Reply{};
+      Error.clear();
+      while (!Error)
+        Socket.read_some(boost::asio::buffer(Reply), Error);
+    }
+    const auto Result = fetch(*Entry.Network, Owner.Address);
+    CPPUNIT_ASSERT(std::holds_alternative<Configuration>(Result));
+  }
+
+  void servesAfterAnAnswerThatIsTooLarge() {
+    TestHost Entry(Io_);
+    TestHost Owner(Io_);
+    Holder<CallerAnswer> Result;
+    Entry.Network->execute(Owner.Address, makeRequest(), Result.handler());
+    runUntil([&] { return Owner.Request.has_value(); });
+    CallerAnswer Large;
+    Large.Body.assign(std::size_t(8) << 20, 'x');
+    Owner.Answer(Large);
+    runUntil([&] { return Result.Value.has_value(); });
+    CPPUNIT_ASSERT(std::get<Failure>(*Result.Value).Sent);
+    CPPUNIT_ASSERT(std::holds_alternative<Configuration>(
+        fetch(*Entry.Network, Owner.Address)));
+    CallerRequest Request = makeRequest();
+    Request.Statement = Large.Body;
+    CPPUNIT_ASSERT(
+        !std::get<Failure>(execute(*Entry.Network, Owner.Address, Request))
+             .Sent);
+  }
+
+  // A connection that is kept after its failure would keep a restarted host
+  // out for good.
+  void reconnectsAfterAPeerRestarts() {
+    TestHost Entry(Io_);
+    auto Owner = std::make_unique<TestHost>(Io_);
+    const std::string Address = Owner->Address;
+    CPPUNIT_ASSERT(
+        std::holds_alternative<Configuration>(fetch(*Entry.Network, Address)));
+    Owner.reset();
+    CPPUNIT_ASSERT(
+        std::holds_alternative<Failure>(fetch(*Entry.Network, Address)));
+    TestHost Restarted(Io_, Address);
+    // Calls fail at once until the back-off ends.
+    while (!std::holds_alternative<Configuration>(
+        fetch(*Entry.Network, Address))) {
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerNetworkTest);
+
+} // namespace nutmegloom
