--- a/testing/scenario/processtable.cpp
+++ b/testing/scenario/processtable.cpp
@@ -58,6 +58,8 @@
   for (const std::string &Argument : Arguments)
     Pointers.push_back(const_cast<char *>(Argument.c_str()));
   Pointers.push_back(nullptr);
+  // The output of an earlier run must not be taken for that of this one.
+  std::ofstream(Output, std::ios::trunc).close();
   const pid_t Id = fork();
   if (Id < 0)
     throw std::runtime_error(std::string("fork: ") + std::strerror(errno));
