--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -285,8 +285,9 @@
     Failure.Exchange = Found->second.Id;
     Failure.Detail = "the connection stopped responding";
     Functions_.Connections.Close(Connection);
-    // What silenced this connection may have silenced the idle ones as well.
-    Pool_.dropIdle(Database);
+    // What silenced this connection may have silenced others as well, also
+    // those to other databases on the same network path.
+    Pool_.dropIdle(Database, Found->second.SentAt);
     endExchange(Connection, Failure, false, true, Now);
   }
   Pool_.tick(Now);
@@ -312,6 +313,11 @@
   return memberOf(Database).Queue.expectedWait(Shape, LastTick_);
 }
 
+std::size_t Dispatcher::waitingAt(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found == Members_.end() ? 0 : Found->second.Queue.waiting();
+}
+
 bool Dispatcher::isUnresponsive(const DatabaseId &Database) const {
   const auto Found = Members_.find(Database);
   return Found != Members_.end() && Found->second.LostAt &&
