Keep the slots of long statements out of the limit for short ones

Cause: with pipelining the limit of concurrent statements passes the slots, so long statements could take all slots of a database, and the limit was learned from times measured beside them.

Change: long statements hold at most 40% of the slots (one of two), the rest of the limit is for short ones, and only times without long statements teach the limit. The first class waits for at most one mean service time, and a level of concurrency must add 6% of throughput.

--- a/packages/core/concurrencylimit.cpp
+++ b/packages/core/concurrencylimit.cpp
@@ -11,7 +11,7 @@
 /// Samples needed before a level is judged.
 static constexpr std::uint32_t EnoughSamples = 50;
 /// Throughput gain per added statement below which more is no use.
-static constexpr double UsefulGain = 1.03;
+static constexpr double UsefulGain = 1.06;
 /// Statements at the limit between two tries of the next higher level.
 static constexpr std::uint32_t ProbeInterval = 200;
 /// Levels above the slots. A statement holds its place here for the round
--- a/packages/core/scheduler.cpp
+++ b/packages/core/scheduler.cpp
@@ -8,7 +8,7 @@
 
 /// Work of the first class waits for at most this many mean service times, so
 /// that its tail stays near its value at low load.
-static constexpr double FirstClassWaitFactor = 2.0;
+static constexpr double FirstClassWaitFactor = 1.0;
 /// Work of other classes is admitted when it is expected to wait for at most
 /// this part of the time to its deadline; estimates are rough, and work that
 /// is refused late has cost its caller more.
@@ -16,7 +16,7 @@
 /// Part of the queue that only the first class may fill.
 static constexpr double ReservedPart = 0.25;
 /// Part of the slots that long work may hold.
-static constexpr double LongPart = 0.34;
+static constexpr double LongPart = 0.4;
 
 /// Time between two passes over the queue for work that is too late.
 static constexpr Milliseconds SweepInterval{5};
@@ -30,9 +30,12 @@
 }
 
 Scheduler::Scheduler(std::uint32_t Slots, const Policy &Limits)
-    : Limits_(Limits), Concurrency_(Slots) {}
+    : Limits_(Limits), Slots_(std::max(Slots, 1U)), Concurrency_(Slots) {}
 
-void Scheduler::setSlots(std::uint32_t Slots) { Concurrency_.setSlots(Slots); }
+void Scheduler::setSlots(std::uint32_t Slots) {
+  Slots_ = std::max(Slots, 1U);
+  Concurrency_.setSlots(Slots);
+}
 
 std::size_t Scheduler::classIndexOf(const std::string &Name) const {
   const auto &Classes = Limits_.Classes;
@@ -63,10 +66,16 @@
 }
 
 std::uint32_t Scheduler::longLimit() const {
-  const std::uint32_t Limit = Concurrency_.limit();
-  if (Limit <= 2)
+  if (Slots_ <= 2)
     return 1;
-  return std::max(1U, static_cast<std::uint32_t>(Limit * LongPart));
+  return std::max(1U, static_cast<std::uint32_t>(Slots_ * LongPart));
+}
+
+std::uint32_t Scheduler::shortLimit(std::uint32_t LongNow) const {
+  // The concurrency limit counts the round trip as well as the slots, so the
+  // long statements take their part of it.
+  const std::uint32_t Free = Slots_ > LongNow ? Slots_ - LongNow : 0;
+  return std::max(1U, Concurrency_.limit() * Free / Slots_);
 }
 
 std::uint32_t Scheduler::longRunning(TimePoint Now) const {
@@ -79,10 +88,11 @@
 
 double Scheduler::waitMilliseconds(const ScheduledWork &Work,
                                    TimePoint Now) const {
-  const std::uint32_t Limit = Concurrency_.limit();
   const std::uint32_t LongNow = longRunning(Now);
+  const std::uint32_t Limit = shortLimit(LongNow);
+  const std::size_t ShortNow = Running_.size() - LongNow;
   if (Times_.isLong(Work.Shape)) {
-    if (Long_.empty() && LongNow < longLimit() && Running_.size() < Limit)
+    if (Long_.empty() && LongNow < longLimit())
       return 0;
     return static_cast<double>(Long_.size() + 1) * Times_.meanOf(Work.Shape) /
            longLimit();
@@ -91,7 +101,7 @@
   const std::size_t Index = classIndexOf(Work.WorkClass);
   const bool Known = Index < Short_.size();
   const std::size_t Waiting = Known ? Short_[Index].size() : 0;
-  if (Waiting == 0 && Running_.size() < Limit)
+  if (Waiting == 0 && ShortNow < Limit)
     return 0;
   // A caller's turn comes once for each turn of the other callers.
   const std::size_t Callers = Known ? Short_[Index].callers() + 1 : 1;
@@ -103,10 +113,9 @@
     if (Other != Index && !Short_[Other].empty())
       Weights += weightOf(Other);
   }
-  const double Slots = std::max(1U, Limit - std::min(LongNow, Limit - 1));
-  const double Share = Slots * weightOf(Index) / Weights;
+  const double Share = Limit * weightOf(Index) / Weights;
   return Times_.shortMean() *
-         (1.0 / Slots + static_cast<double>(Ahead) / Share);
+         (1.0 / Limit + static_cast<double>(Ahead) / Share);
 }
 
 Milliseconds Scheduler::expectedWait(const ScheduledWork &Work,
@@ -161,29 +170,32 @@
   Running Entry;
   Entry.Shape = Work.Shape;
   Entry.StartedAt = Now;
-  Entry.Concurrency = static_cast<std::uint32_t>(Running_.size() + 1);
+  // Beside long statements the times say little about the slots.
+  if (!Long && longRunning(Now) == 0)
+    Entry.Concurrency = static_cast<std::uint32_t>(Running_.size() + 1);
   Entry.Long = Long;
   Running_[Work.Task] = Entry;
   return Work.Task;
 }
 
 WorkQueue *Scheduler::nextQueue(TimePoint Now) {
+  const std::uint32_t LongNow = longRunning(Now);
   WorkQueue *Best = nullptr;
-  for (WorkQueue &Queue : Short_) {
-    if (!Queue.empty() && (!Best || Queue.VirtualTime < Best->VirtualTime))
-      Best = &Queue;
+  if (Running_.size() - LongNow < shortLimit(LongNow)) {
+    for (WorkQueue &Queue : Short_) {
+      if (!Queue.empty() && (!Best || Queue.VirtualTime < Best->VirtualTime))
+        Best = &Queue;
+    }
   }
-  const bool LongMayStart = !Long_.empty() && longRunning(Now) < longLimit();
+  const bool LongMayStart = !Long_.empty() && LongNow < longLimit() &&
+                            Running_.size() < Concurrency_.limit();
   if (LongMayStart && (!Best || Long_.VirtualTime < Best->VirtualTime))
     return &Long_;
   return Best;
 }
 
 std::optional<TaskId> Scheduler::next(TimePoint Now) {
-  while (Running_.size() < Concurrency_.limit()) {
-    WorkQueue *Queue = nextQueue(Now);
-    if (!Queue)
-      return std::nullopt;
+  while (WorkQueue *Queue = nextQueue(Now)) {
     const bool Long = Queue == &Long_;
     const ScheduledWork Work = Queue->pop();
     if (isTooLate(Work, Now)) {
--- a/packages/core/scheduler.h
+++ b/packages/core/scheduler.h
@@ -59,6 +59,7 @@
   struct Running {
     std::uint64_t Shape = 0;
     TimePoint StartedAt;
+    /// Statements under way when it started; 0: not a measure of the slots.
     std::uint32_t Concurrency = 0;
     bool Long = false;
   };
@@ -67,6 +68,8 @@
   std::uint32_t weightOf(std::size_t ClassIndex) const;
   bool isFirstClass(std::size_t ClassIndex) const;
   std::uint32_t longLimit() const;
+  /// Statements that are not long and may be under way while LongNow are.
+  std::uint32_t shortLimit(std::uint32_t LongNow) const;
   std::uint32_t longRunning(TimePoint Now) const;
   double waitMilliseconds(const ScheduledWork &Work, TimePoint Now) const;
   bool isTooLate(const ScheduledWork &Work, TimePoint Now) const;
@@ -74,6 +77,7 @@
   TaskId start(const ScheduledWork &Work, bool Long, TimePoint Now);
 
   const Policy &Limits_;
+  std::uint32_t Slots_;
   ConcurrencyLimit Concurrency_;
   ServiceTimes Times_;
   /// One queue for each class, and one for long work of all classes.
