Spread reads over equal replicas and refuse writes without a key

Replicas whose queues are empty all have an expected wait of zero, so the first member of a group got all reads until its slots were taken. Ties are now broken by the work that a database already has from this host.

A forwarded write, commit or settlement without an idempotency key is refused: its outcome could not be found again, and a settlement would close the empty key. The entry makes a key, so callers are not affected.

--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -327,6 +327,13 @@
   return Found == Members_.end() ? 0 : Found->second.Queue.waiting();
 }
 
+std::size_t Dispatcher::loadOf(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found == Members_.end()
+             ? 0
+             : Found->second.Queue.waiting() + Found->second.Queue.running();
+}
+
 bool Dispatcher::isUnresponsive(const DatabaseId &Database) const {
   const auto Found = Members_.find(Database);
   return Found != Members_.end() && Found->second.LostAt &&
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -84,6 +84,8 @@
   Milliseconds expectedWait(const DatabaseId &Database, std::uint64_t Shape);
   /// Work in the database's queue.
   std::size_t waitingAt(const DatabaseId &Database) const;
+  /// Work that is queued or has a slot.
+  std::size_t loadOf(const DatabaseId &Database) const;
   const ConnectionPool &pool() const { return Pool_; }
   /// True when an exchange of the database was lost a short time ago.
   bool isUnresponsive(const DatabaseId &Database) const;
--- a/packages/core/ownersystem.cpp
+++ b/packages/core/ownersystem.cpp
@@ -61,6 +61,9 @@
               {[this](const DatabaseId &Database, std::uint64_t Shape) {
                  return Databases_.expectedWait(Database, Shape);
                },
+               [this](const DatabaseId &Database) {
+                 return Databases_.loadOf(Database);
+               },
                [this](const DatabaseId &Database) {
                  return Databases_.isUnresponsive(Database) ||
                         Databases_.pool().cannotConnect(Database);
@@ -102,6 +105,18 @@
                                         "\" is not in the configuration"));
     return;
   }
+  const bool NeedsKey = Request.Step == RequestStep::Commit ||
+                        Request.Step == RequestStep::Settle ||
+                        (Request.Step == RequestStep::Statement &&
+                         Request.Kind == StatementKind::Write);
+  if (NeedsKey && Request.Key.empty()) {
+    // The entry makes a key. Without one an outcome could never be found.
+    const bool Settle = Request.Step == RequestStep::Settle;
+    Functions_.Answer(Id, makeError(Settle ? Outcome::Unknown : Outcome::NotRun,
+                                    ErrorCode::BadRequest,
+                                    "a write needs an idempotency key"));
+    return;
+  }
   Group->second.Active = true;
   Group->second.LastUsed = Now;
   if (Request.Step != RequestStep::Statement &&
--- a/packages/core/replicachoice.cpp
+++ b/packages/core/replicachoice.cpp
@@ -3,7 +3,7 @@
 #include "core/readjudge.h"
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
 
 namespace nutmegloom {
 
@@ -124,7 +124,7 @@
   RegionName RemoteReplica;
   if (!needsPrimary(Request)) {
     const DatabaseEntity *Best = nullptr;
-    std::pair<bool, Milliseconds> BestRank;
+    std::tuple<bool, Milliseconds, std::size_t> BestRank;
     for (const DatabaseId &Member : Group->Members) {
       const DatabaseEntity *Candidate = Access_.findDatabase(Member);
       if (Candidate == nullptr || Group->Primary == Member ||
@@ -137,16 +137,16 @@
         continue;
       }
       // A replica that has not been heard of for a while comes last.
-      const std::pair Rank(Now - *Candidate->StatusReceivedAt >
-                               3 * Limits_.StatusInterval,
-                           Functions_.Wait(Member, Request.Shape));
+      const std::tuple Rank(
+          Now - *Candidate->StatusReceivedAt > 3 * Limits_.StatusInterval,
+          Functions_.Wait(Member, Request.Shape), Functions_.Load(Member));
       if (Best == nullptr || Rank < BestRank) {
         Best = Candidate;
         BestRank = Rank;
       }
     }
     const bool InTime =
-        Best != nullptr && Now + BestRank.second <= Request.Deadline;
+        Best != nullptr && Now + std::get<1>(BestRank) <= Request.Deadline;
     if (InTime || (Best != nullptr &&
                    Primary.Answer == PrimaryAccess::Kind::Unavailable)) {
       Place.Answer = ReadPlace::Kind::Database;
--- a/packages/core/replicachoice.h
+++ b/packages/core/replicachoice.h
@@ -30,6 +30,8 @@
   struct Hooks {
     /// Time that the read would wait in the queue of the database.
     std::function<Milliseconds(const DatabaseId &, std::uint64_t Shape)> Wait;
+    /// Work that the database has from this host, to spread reads evenly.
+    std::function<std::size_t(const DatabaseId &)> Load;
     /// True when the database's connections don't work at present.
     std::function<bool(const DatabaseId &)> IsUnresponsive;
   };
