Place a read again when its replica has become the primary

A read that waited for a replica was still sent after the replica had been promoted, and its answer was returned without a term check. A read with a stated age could then be served by a primary that had been replaced in the meantime. Such a read now goes back to the choice of a database, which asks for the term check. The case was found by reading; no test provokes it.

--- a/packages/core/replicachoice.cpp
+++ b/packages/core/replicachoice.cpp
@@ -175,10 +175,10 @@
   const DatabaseEntity *Candidate = Access_.findDatabase(Database);
   if (Group == nullptr || Candidate == nullptr)
     return false;
-  if (Group->Primary == Database)
-    return Access_.primaryOf(Request.Group, Now).Answer ==
-           PrimaryAccess::Kind::Ready;
-  return !needsPrimary(Request) && isUsable(*Candidate) &&
+  // A replica that became the primary answers under the term check only, so
+  // the read has to be placed again.
+  return Group->Primary != Database && !needsPrimary(Request) &&
+         isUsable(*Candidate) &&
          Candidate->Status.Role != DatabaseRole::Primary &&
          isFreshEnough(Request, *Group, *Candidate, Now);
 }
--- a/packages/core/replicachoice.h
+++ b/packages/core/replicachoice.h
@@ -49,7 +49,7 @@
 
   ReadPlace choose(const CallerRequest &Request,
                    const std::set<DatabaseId> &Avoided, TimePoint Now) const;
-  /// True when a read that waits for the database may stay in its queue.
+  /// True when a read that waits for a replica may stay in its queue.
   bool isStillGood(const CallerRequest &Request, const DatabaseId &Database,
                    TimePoint Now) const;
 
