--- a/packages/nutmegloomd/daemon.cpp
+++ b/packages/nutmegloomd/daemon.cpp
@@ -28,6 +28,9 @@
 static constexpr Milliseconds CloseTimeout{2000};
 /// Heartbeats that tell the others of a planned stop before the ports close.
 static constexpr int DrainHeartbeats = 2;
+/// Time without work before the ports close, so that the last answers reach
+/// other hosts.
+static constexpr Milliseconds DrainQuiet{100};
 static constexpr int ExitListenFailed = 1;
 
 class Daemon::State {
@@ -74,6 +77,7 @@
   bool TickScheduled_ = false;
   std::optional<TimePoint> NextReview_;
   std::optional<TimePoint> DrainStartedAt_;
+  std::optional<TimePoint> IdleSince_;
   bool Closing_ = false;
   std::string RefusedReason_;
   /// What was logged last, to log changes only.
@@ -358,7 +362,11 @@
     return;
   const Policy &Limits = Core_->policy();
   std::size_t Left = Callers_.inProgress() + Peers_.inProgress();
-  bool Finished = Core_->isIdle() && Left == 0 &&
+  if (!Core_->isIdle() || Left > 0)
+    IdleSince_.reset();
+  else if (!IdleSince_)
+    IdleSince_ = Now;
+  bool Finished = IdleSince_ && Now - *IdleSince_ >= DrainQuiet &&
                   Now - *DrainStartedAt_ >= DrainHeartbeats * Limits.Heartbeat;
   if (Finished) {
     logEvent(LogEvent::DrainFinished, {});
--- a/packages/protocol/httpserver.cpp
+++ b/packages/protocol/httpserver.cpp
@@ -90,6 +90,8 @@
   bool ReadPending_ = false;
   bool InputEnded_ = false;
   bool ContinueSent_ = false;
+  /// The interim response is being written.
+  bool ContinuePending_ = false;
 };
 
 class Server final : public HttpServer,
@@ -242,6 +244,7 @@
   if (Parser_->is_header_done() && !ContinueSent_ &&
       beast::iequals(Parser_->get()[http::field::expect], "100-continue")) {
     ContinueSent_ = true;
+    ContinuePending_ = true;
     static constexpr std::string_view Continue =
         "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(
@@ -354,7 +357,8 @@
 void Session::checkDeadline(TimePoint Now) {
   if (Now < Deadline_ || Phase_ == Phase::Closed)
     return;
-  if (Phase_ != Phase::Reading || (!Started_ && Served_))
+  // Two writes at a time would mix their bytes.
+  if (Phase_ != Phase::Reading || ContinuePending_ || (!Started_ && Served_))
     return close();
   ++Owner_->Counters.TimedOut;
   refuseRequest({ErrorCode::BadRequest, Outcome::NotRun,
--- a/tests/protocol/httpservertest.cpp
+++ b/tests/protocol/httpservertest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <future>
+#include <random>
 #include <thread>
 
 namespace nutmegloom {
@@ -112,6 +113,7 @@
   CPPUNIT_TEST(takesRequestInPieces);
   CPPUNIT_TEST(continuesOnExpectation);
   CPPUNIT_TEST(refusesMalformedInput);
+  CPPUNIT_TEST(survivesAlteredRequests);
   CPPUNIT_TEST(refusesLargeHeader);
   CPPUNIT_TEST(refusesLargeBody);
   CPPUNIT_TEST(refusesTruncatedRequest);
@@ -180,6 +182,38 @@
     }
   }
 
+  /// Guards against input that ends the process or leaves a connection open,
+  /// over many small alterations of a valid request.
+  void survivesAlteredRequests() {
+    RunningServer Server;
+    constexpr unsigned Seed = 20261;
+    std::mt19937 Random(Seed);
+    const std::string Valid =
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "Expect: 100-continue\r\n\r\n5;a=b\r\nhello\r\n0\r\nT: v\r\n\r\n";
+    for (int Round = 0; Round < 500; ++Round) {
+      std::string Input = Valid;
+      for (unsigned Change = Random() % 4 + 1; Change > 0; --Change) {
+        std::size_t At = Random() % Input.size();
+        if (Random() % 2)
+          Input[At] = static_cast<char>(Random());
+        else
+          Input.insert(At, Input.substr(Random() % Input.size(), 3));
+      }
+      Client Caller(Server);
+      Caller.send(Input);
+      Caller.Socket.shutdown(tcp::socket::shutdown_send);
+      std::string Response = Caller.readToEnd();
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ", round " +
+                                 std::to_string(Round) + ": " + Input,
+                             Response.empty() ||
+                                 Response.starts_with("HTTP/1.1 "));
+    }
+    Client Caller(Server);
+    Caller.send("GET /after HTTP/1.1\r\nHost: h\r\n\r\n");
+    Caller.readTo("/after  ");
+  }
+
   /// Guards against memory that grows with the header.
   void refusesLargeHeader() {
     RunningServer Server({.HeaderBytes = 512});
