--- a/testing/scenario/scenario.lua
+++ b/testing/scenario/scenario.lua
@@ -130,6 +130,15 @@
   }
 end
 
+-- Names of the hosts in a fixed order.
+function host_names()
+  local names = {}
+  for number = 1, deployment.options.hosts do
+    names[number] = "host" .. number
+  end
+  return names
+end
+
 function start_database(name)
   runner.start(name, "testing/standindatabase/standindatabase",
     database_arguments(deployment.databases[name]))
@@ -149,10 +158,10 @@
     "--caller-address", host.caller, "--peer-address", host.peer,
     "--platform-address", deployment.platform,
   }
-  for _, other in pairs(deployment.hosts) do
-    if other.name ~= name then
+  for _, other in ipairs(host_names()) do
+    if other ~= name then
       arguments[#arguments + 1] = "--seed"
-      arguments[#arguments + 1] = other.peer
+      arguments[#arguments + 1] = deployment.hosts[other].peer
     end
   end
   runner.start(name, "packages/nutmegloomd/nutmegloomd", arguments)
@@ -320,18 +329,35 @@
   start_databases()
   put_first_configuration()
   put_host_list({})
-  for name in pairs(deployment.hosts) do
+  for _, name in ipairs(host_names()) do
     start_host(name)
   end
-  for name in pairs(deployment.hosts) do
+  for _, name in ipairs(host_names()) do
     wait_host(name)
   end
 end
 
+-- Waits until every host knows every other one as ready. Before that, hosts
+-- may disagree about who owns a group.
+function wait_membership()
+  for _, name in ipairs(host_names()) do
+    wait_until(name .. " knows all hosts", function()
+      local page = status(name)
+      local ready = 0
+      for _, host in ipairs(page and page.hosts or {}) do
+        if host.state == "ready" and not host.suspected then
+          ready = ready + 1
+        end
+      end
+      return ready == deployment.options.hosts
+    end)
+  end
+end
+
 function caller_addresses()
   local list = {}
-  for number = 1, deployment.options.hosts do
-    list[number] = deployment.hosts["host" .. number].caller
+  for number, name in ipairs(host_names()) do
+    list[number] = deployment.hosts[name].caller
   end
   return table.concat(list, ",")
 end
--- a/tests/scenarios/leaving_database.lua
+++ b/tests/scenarios/leaving_database.lua
@@ -6,7 +6,7 @@
   "write before")
 
 local function all_hosts_know(name)
-  for host in pairs(deployment.hosts) do
+  for _, host in ipairs(host_names()) do
     local page = status(host)
     for _, group in ipairs(page and page.groups or {}) do
       for _, member in ipairs(group.members) do
--- a/tests/scenarios/owner_dies.lua
+++ b/tests/scenarios/owner_dies.lua
@@ -1,6 +1,7 @@
 -- Guards against a transaction that commits in part, or mixes with another
 -- one, when the host that holds its connection dies in the middle of it.
 deploy{hosts = 3}
+wait_membership()
 local session = new_session()
 
 local function begin(host)
@@ -24,7 +25,7 @@
 
 -- The caller uses a host that doesn't own the transaction.
 local entry, transaction, owner
-for host in pairs(deployment.hosts) do
+for _, host in ipairs(host_names()) do
   runner.http_close("caller")
   transaction = begin(host)
   entry, owner = host, transaction:match("^(host%d+)")
--- a/tests/scenarios/racing_edits.lua
+++ b/tests/scenarios/racing_edits.lua
@@ -59,7 +59,7 @@
 start_edit("lost", {last})
 expect_equal(0, wait_exit("ctl-lost"), "edit whose answer was lost")
 expect_equal(5, stored().version, "the edit was made once")
-for host in pairs(deployment.hosts) do
+for _, host in ipairs(host_names()) do
   wait_until(host .. " has version 5", function()
     local page = status(host)
     return page and page.configuration.version == 5
--- a/tests/scenarios/store_outage.lua
+++ b/tests/scenarios/store_outage.lua
@@ -12,7 +12,7 @@
 end
 
 local function wait_version(version)
-  for host in pairs(deployment.hosts) do
+  for _, host in ipairs(host_names()) do
     wait_until(host .. " has version " .. version, function()
       local page = status(host)
       return page and page.configuration.version == version
