Refuse edits that are unsafe while hosts serve

Hosts take a new version at different moments. While they differ in timing.term_validity_ms, a promoter with the shorter value does not wait for a host with the longer one, so a replaced primary's write could be acknowledged (invariant 2). A database that moves to another group, for example because a group was put in the middle of the list, would serve that group's sessions with other data.

A wait of its own for the promoter, changed in two steps, was considered: it needs a change of the failover system and a rule for hosts that are more than one version behind.

--- a/packages/nutmegloomctl/commands.cpp
+++ b/packages/nutmegloomctl/commands.cpp
@@ -179,6 +179,7 @@
     Edit.RemovedOverlays.insert(Site);
   }
   Edit.BasedOn = Given.BasedOn;
+  Edit.Offline = Given.Offline;
   Edit.EditId = Functions.NewEditId();
   Edit.Editor = Given.Editor;
   Edit.EditedAt = Functions.Time();
--- a/packages/nutmegloomctl/editapplier.cpp
+++ b/packages/nutmegloomctl/editapplier.cpp
@@ -182,7 +182,10 @@
     Next.Overlays[Site] = Text;
   for (const std::string &Site : Edit_.RemovedOverlays)
     Next.Overlays.erase(Site);
-  Result_.Errors = withPaths(checkHead(Next), Edit_.Files);
+  Result_.Errors = checkHead(Next);
+  if (Result_.Errors.empty() && !Edit_.Offline)
+    Result_.Errors = checkSuccessor(Stored.Head, Next);
+  Result_.Errors = withPaths(std::move(Result_.Errors), Edit_.Files);
   if (!Result_.Errors.empty()) {
     Result_.Detail = "the checks refused the edit on top of version " +
                      std::to_string(Stored.Version);
--- a/packages/nutmegloomctl/editapplier.h
+++ b/packages/nutmegloomctl/editapplier.h
@@ -16,6 +16,8 @@
   /// Version that the files are based on. Absent: the version in the store
   /// when the command starts.
   std::optional<std::uint64_t> BasedOn;
+  /// No host serves, so that unsafe changes are allowed.
+  bool Offline = false;
   std::string EditId;
   std::string Editor;
   std::string EditedAt;
--- a/packages/nutmegloomctl/nutmegloomctl.bash
+++ b/packages/nutmegloomctl/nutmegloomctl.bash
@@ -4,7 +4,7 @@
   local current=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD-1]}
   local commands="check diff apply status history help"
   local options="--platform --timeout-ms --json --comment --editor --based-on
-    --remove-overlay --host --limit --version --help"
+    --offline --remove-overlay --host --limit --version --help"
   COMPREPLY=()
 
   case $previous in
--- a/packages/nutmegloomctl/options.cpp
+++ b/packages/nutmegloomctl/options.cpp
@@ -45,6 +45,7 @@
   char *Comment = nullptr;
   char *Editor = nullptr;
   long long BasedOn = -1;
+  int Offline = 0;
   int Limit = 50;
 
   ~RawOptions() {
@@ -106,13 +107,14 @@
 
 std::variant<Options, EarlyExit> parseOptions(int Count, const char **Values) {
   RawOptions Raw;
-  const std::array<poptOption, 11> Table{{
+  const std::array<poptOption, 12> Table{{
       {"platform", 'p', POPT_ARG_STRING, &Raw.Platform, 0, nullptr, nullptr},
       {"timeout-ms", 't', POPT_ARG_INT, &Raw.Timeout, 0, nullptr, nullptr},
       {"json", 'j', POPT_ARG_NONE, &Raw.Json, 0, nullptr, nullptr},
       {"comment", 'c', POPT_ARG_STRING, &Raw.Comment, 0, nullptr, nullptr},
       {"editor", 'e', POPT_ARG_STRING, &Raw.Editor, 0, nullptr, nullptr},
       {"based-on", 'b', POPT_ARG_LONGLONG, &Raw.BasedOn, 0, nullptr, nullptr},
+      {"offline", 'o', POPT_ARG_NONE, &Raw.Offline, 0, nullptr, nullptr},
       {"limit", 'n', POPT_ARG_INT, &Raw.Limit, 0, nullptr, nullptr},
       {"remove-overlay", 'r', POPT_ARG_STRING, nullptr, RemoveOverlayOption,
        nullptr, nullptr},
@@ -165,6 +167,7 @@
     Given.Editor = "unknown";
   if (Raw.BasedOn >= 0)
     Given.BasedOn = static_cast<std::uint64_t>(Raw.BasedOn);
+  Given.Offline = Raw.Offline != 0;
   Given.HistoryLimit = static_cast<std::uint32_t>(Raw.Limit);
   if (auto Error = checkOptions(Given, Raw))
     return *Error;
@@ -196,6 +199,8 @@
   -e, --editor NAME          apply: who makes the edit; default: USER
   -b, --based-on VERSION     apply: version that the files are based on; files
                              that were changed since are not overwritten
+  -o, --offline              apply: allow changes that are safe only while no
+                             host serves
   -r, --remove-overlay SITE  apply: remove the overlay of a site (repeatable)
   -H, --host IP:PORT         status: callers' address of a host to ask instead
                              of the platform's list (repeatable)
--- a/packages/nutmegloomctl/options.h
+++ b/packages/nutmegloomctl/options.h
@@ -28,6 +28,7 @@
   std::string Comment;
   std::string Editor;
   std::optional<std::uint64_t> BasedOn;
+  bool Offline = false;
   std::vector<std::string> RemovedOverlays;
   /// Callers' addresses of hosts, in the place of the platform's list.
   std::vector<std::string> Hosts;
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -107,6 +107,10 @@
 /// Checks the base and all overlays together. Empty: all is well.
 SettingsErrors checkHead(const ConfigurationHead &Head);
 
+/// Checks that hosts may go from one valid head to the next while they serve.
+SettingsErrors checkSuccessor(const ConfigurationHead &Previous,
+                              const ConfigurationHead &Next);
+
 } // namespace nutmegloom
 
 #endif // NUTMEGLOOM_SETTINGS_SETTINGS_H
--- /dev/null
+++ b/packages/settings/successor.cpp
@@ -0,0 +1,60 @@
+#include "settings/jsontext.h"
+#include "settings/textformats.h"
+
+#include <map>
+
+namespace nutmegloom {
+
+namespace {
+
+/// Content of any one site: what is compared here is the same at all sites.
+std::optional<Deployment> loadAnySite(const ConfigurationHead &Head) {
+  SettingsErrors Errors;
+  const auto Base = parseJsonText(Head.Base, "base", Errors);
+  if (!Base || !Base->is_object())
+    return std::nullopt;
+  const Json Sites = Base->value("sites", Json());
+  if (!Sites.is_object() || Sites.empty())
+    return std::nullopt;
+  auto Loaded = loadSite(Head, Sites.items().begin().key());
+  if (auto *Site = std::get_if<SiteSettings>(&Loaded))
+    return std::move(Site->Content);
+  return std::nullopt;
+}
+
+} // namespace
+
+SettingsErrors checkSuccessor(const ConfigurationHead &Previous,
+                              const ConfigurationHead &Next) {
+  const auto Old = loadAnySite(Previous);
+  const auto New = loadAnySite(Next);
+  // No host follows a head that is refused.
+  if (!Old || !New)
+    return {};
+  SettingsErrors Errors;
+  // Hosts take the next version at different moments. A promoter that has the
+  // shorter validity would not wait for a host that has the longer one.
+  const auto Before = Old->Limits.TermValidity;
+  const auto After = New->Limits.TermValidity;
+  if (Before != After)
+    Errors.push_back({"base", "timing.term_validity_ms",
+                      "a change from " + std::to_string(Before.count()) +
+                          " to " + std::to_string(After.count()) +
+                          " ms is safe only while no host serves writes"});
+  // A database's log belongs to its group; session tokens and callers' URLs
+  // name the group by its number.
+  std::map<DatabaseId, GroupId> Groups;
+  for (const DatabaseEntity &Database : Old->Databases)
+    Groups[Database.Id] = Database.Group;
+  for (const DatabaseEntity &Database : New->Databases) {
+    const auto Found = Groups.find(Database.Id);
+    if (Found != Groups.end() && Found->second != Database.Group)
+      Errors.push_back({"base", "services",
+                        "the database " + quote(Database.Id) + " is in group " +
+                            Found->second + " and may not move to group " +
+                            Database.Group});
+  }
+  return Errors;
+}
+
+} // namespace nutmegloom
--- a/tests/settings/commandstest.cpp
+++ b/tests/settings/commandstest.cpp
@@ -131,10 +131,10 @@
 
   // An option that is read into the wrong place edits the wrong thing.
   void readsAllOptions() {
-    const auto Parsed = parse(
-        {"-p", "127.0.0.1:1", "-t",          "7",     "-j",  "-c", "why", "-e",
-         "bo", "-b",          "9",           "-n",    "3",   "-r", "a",   "-r",
-         "b",  "-H",          "127.0.0.2:2", "apply", "one", "two"});
+    const auto Parsed = parse({"-p",  "127.0.0.1:1", "-t",    "7",   "-j", "-c",
+                               "why", "-e",          "bo",    "-b",  "9",  "-o",
+                               "-n",  "3",           "-r",    "a",   "-r", "b",
+                               "-H",  "127.0.0.2:2", "apply", "one", "two"});
     CPPUNIT_ASSERT(std::holds_alternative<Options>(Parsed));
     const auto &Given = std::get<Options>(Parsed);
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:1"), Given.Platform);
@@ -143,6 +143,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("why"), Given.Comment);
     CPPUNIT_ASSERT_EQUAL(std::string("bo"), Given.Editor);
     CPPUNIT_ASSERT(Given.BasedOn == std::uint64_t{9});
+    CPPUNIT_ASSERT(Given.Offline);
     CPPUNIT_ASSERT_EQUAL(3U, Given.HistoryLimit);
     CPPUNIT_ASSERT(Given.RemovedOverlays ==
                    (std::vector<std::string>{"a", "b"}));
@@ -218,7 +219,7 @@
       CPPUNIT_ASSERT_MESSAGE(Word, contains(Completion, Word));
       CPPUNIT_ASSERT_MESSAGE(Word, contains(Page, "Fl -" + Name));
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{11}, Count);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, Count);
     for (const char *Command :
          {"check", "diff", "apply", "status", "history", "help"}) {
       CPPUNIT_ASSERT(contains(Help, std::string("\n  ") + Command));
--- a/tests/settings/editappliertest.cpp
+++ b/tests/settings/editappliertest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(EditApplierTest);
   CPPUNIT_TEST(makesTheFirstHead);
   CPPUNIT_TEST(refusesAnInvalidEditWithoutAnUpdate);
+  CPPUNIT_TEST(refusesChangesThatAreUnsafeWhileHostsServe);
   CPPUNIT_TEST(appliesOnTopOfAnEditOfAnotherFile);
   CPPUNIT_TEST(refusesWhatIsInvalidTogetherWithTheOtherEdit);
   CPPUNIT_TEST(stopsWhenTheOtherEditChangedTheSameFile);
@@ -72,6 +73,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Store_.Puts);
   }
 
+  // While hosts differ in the validity, a replaced primary's write could be
+  // acknowledged; a database in another group serves the wrong data.
+  void refusesChangesThatAreUnsafeWhileHostsServe() {
+    storeSample();
+    RequestedEdit Edit = baseEdit(
+        "mine", sampleBaseWith("_validity_ms\": 400", "_validity_ms\": 500"));
+    const auto Refused = apply(Edit);
+    CPPUNIT_ASSERT(Refused.Outcome == ApplyOutcome::Refused);
+    CPPUNIT_ASSERT(
+        hasError(Refused.Errors, "base", "timing.term_validity_ms", "500"));
+    Edit.Offline = true;
+    CPPUNIT_ASSERT(apply(Edit).Outcome == ApplyOutcome::Done);
+    const auto Moved =
+        apply(baseEdit("move", sampleBaseWith("\"groups\": [", R"("groups": [
+            {"databases": [{"id": "d2", "zone": "a",
+             "service_address": "127.0.0.1:1004",
+             "control_address": "127.0.0.1:1005"}]}, )")));
+    CPPUNIT_ASSERT(Moved.Outcome == ApplyOutcome::Refused);
+    CPPUNIT_ASSERT(hasError(Moved.Errors, "base", "services",
+                            "\"d1\" is in group shop/0 and may not move to "
+                            "group shop/1"));
+  }
+
   // An update without a condition would drop the edit that came first.
   void appliesOnTopOfAnEditOfAnotherFile() {
     storeSample();
