--- a/tests/fuzz/settingsfuzz.cpp
+++ b/tests/fuzz/settingsfuzz.cpp
@@ -22,6 +22,7 @@
   Head.Overlays.clear();
   if (checkHead(Head).empty()) {
     require(std::holds_alternative<SettingsErrors>(loadSite(Head, "/")));
+    require(checkSuccessor(Head, Head).empty());
     const auto Parsed = parseHead(serializeHead(Head));
     require(std::holds_alternative<ConfigurationHead>(Parsed));
     require(std::get<ConfigurationHead>(Parsed).Base == Text);
