Judge concurrency by trials and relieve replicas with long queues

Ruled out: unfair classes (waits were slow in one class only because it has the lowest weight), the share of slots for long work.

Change: the limit tries its neighbours in turn, each for 400 statements (with 50 the noise was larger than the gain of one statement); a read goes to the primary when that saves four service times of waiting; the bench lists the exchanges.

--- a/bench/policy/nutmegloomsystem.h
+++ b/bench/policy/nutmegloomsystem.h
@@ -5,6 +5,7 @@
 #include "core/engine.h"
 
 #include <map>
+#include <set>
 
 namespace nutmegloom {
 
@@ -43,6 +44,8 @@
   FakeService &Service_;
   std::map<DatabaseId, Address> Addresses_;
   std::map<ConnectionId, Address> Connections_;
+  /// Exchanges that each database has received and not answered.
+  std::map<DatabaseId, std::set<ExchangeId>> Executing_;
   std::map<TaskId, Pending> Pending_;
   Sessions Sessions_;
   TaskId NextTask_ = 1;
--- a/packages/core/concurrencylimit.cpp
+++ b/packages/core/concurrencylimit.cpp
@@ -4,19 +4,21 @@
 
 namespace nutmegloom {
 
-static constexpr double Gain = 0.05;
+/// Weight of a sample in the moving mean of a level.
+static constexpr double Gain = 0.0025;
 /// A sample counts for at most this multiple of the mean, so that stragglers
 /// don't look like a crowded database.
 static constexpr double RatioCap = 4.0;
-/// Samples needed before a level is judged.
-static constexpr std::uint32_t EnoughSamples = 50;
+/// Samples at a limit before it is judged. With 50 the noise of the service
+/// times was larger than the gain of one more statement.
+static constexpr std::uint32_t EnoughSamples = 400;
 /// Throughput gain per added statement below which more is no use.
-static constexpr double UsefulGain = 1.06;
-/// Statements at the limit between two tries of the next higher level.
-static constexpr std::uint32_t ProbeInterval = 200;
-/// Levels above the slots. A statement holds its place here for the round
-/// trip as well as for its time in the slot, so the slots stay busy only when
-/// more statements are under way than there are slots.
+static constexpr double UsefulGain = 1.05;
+/// Statements at the limit between two trials of a neighbouring one.
+static constexpr std::uint32_t TrialInterval = 400;
+/// Levels for each slot. A statement holds its place here for the round trip
+/// as well as for its time in the slot, so the slots stay busy only when more
+/// statements are under way than there are slots.
 static constexpr std::uint32_t LevelsPerSlot = 3;
 
 ConcurrencyLimit::ConcurrencyLimit(std::uint32_t Slots) { setSlots(Slots); }
@@ -26,7 +28,9 @@
   if (Wanted * LevelsPerSlot == Levels_.size())
     return;
   Levels_.assign(Wanted * LevelsPerSlot, Level());
-  Limit_ = Wanted;
+  Limit_ = Wanted + (Wanted + 1) / 2;
+  BeforeTrial_ = 0;
+  SinceTrial_ = 0;
 }
 
 void ConcurrencyLimit::add(std::uint32_t Concurrency, double Ratio) {
@@ -37,31 +41,38 @@
   // The mean of the first samples, then a moving mean.
   const double Weight = std::max(Gain, 1.0 / Entry.Samples);
   Entry.Ratio += Weight * (std::min(Ratio, RatioCap) - Entry.Ratio);
-  if (Concurrency == Limit_)
-    update();
+  // Below the limit there is nothing to find out.
+  if (Concurrency != Limit_)
+    return;
+  ++SinceTrial_;
+  if (BeforeTrial_ != 0 && SinceTrial_ >= EnoughSamples)
+    endTrial();
+  else if (BeforeTrial_ == 0 && SinceTrial_ >= TrialInterval)
+    startTrial();
 }
 
-void ConcurrencyLimit::update() {
-  if (++SinceProbe_ >= ProbeInterval && Limit_ < Levels_.size()) {
-    SinceProbe_ = 0;
-    // The level must be judged afresh: what crowded the database may be gone.
-    Levels_[Limit_] = Level();
-    ++Limit_;
-    return;
-  }
-  // Level n does n / ratio(n) of work in the time of one statement.
-  if (Limit_ < 2)
+void ConcurrencyLimit::startTrial() {
+  SinceTrial_ = 0;
+  const bool Lower = NextTrialIsLower_;
+  NextTrialIsLower_ = !NextTrialIsLower_;
+  if (Lower ? Limit_ == 1 : Limit_ == Levels_.size())
     return;
-  const Level &Top = Levels_[Limit_ - 1];
-  const Level &Below = Levels_[Limit_ - 2];
-  if (Top.Samples < EnoughSamples || Below.Samples < EnoughSamples)
-    return;
-  const double Work = Limit_ / Top.Ratio;
-  const double WorkBelow = (Limit_ - 1) / Below.Ratio;
-  if (Work < WorkBelow * UsefulGain) {
-    --Limit_;
-    SinceProbe_ = 0;
-  }
+  BeforeTrial_ = Limit_;
+  Limit_ = Lower ? Limit_ - 1 : Limit_ + 1;
+  // Judged afresh: what crowded the database may be gone.
+  Levels_[Limit_ - 1] = Level();
+}
+
+void ConcurrencyLimit::endTrial() {
+  const std::uint32_t Upper = std::max(Limit_, BeforeTrial_);
+  const std::uint32_t Lower = std::min(Limit_, BeforeTrial_);
+  Limit_ = workAt(Upper) >= workAt(Lower) * UsefulGain ? Upper : Lower;
+  BeforeTrial_ = 0;
+  SinceTrial_ = 0;
+}
+
+double ConcurrencyLimit::workAt(std::uint32_t Concurrency) const {
+  return Concurrency / Levels_[Concurrency - 1].Ratio;
 }
 
 } // namespace nutmegloom
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -317,9 +317,14 @@
   return Expired;
 }
 
+Milliseconds Dispatcher::serviceTimeOf(const DatabaseId &Database,
+                                       std::uint64_t Shape) {
+  return memberOf(Database).Queue.serviceTimeOf(Shape);
+}
+
 Milliseconds Dispatcher::expectedWait(const DatabaseId &Database,
-                                      std::uint64_t Shape) {
-  return memberOf(Database).Queue.expectedWait(Shape, LastTick_);
+                                      const ScheduledWork &Scheduled) {
+  return memberOf(Database).Queue.expectedWait(Scheduled, LastTick_);
 }
 
 std::size_t Dispatcher::waitingAt(const DatabaseId &Database) const {
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -80,8 +80,11 @@
   /// Returns the work whose time in the queue is over, and removes it.
   std::vector<WorkId> takeExpired(TimePoint Now);
 
-  /// Time that work of the shape would wait, as of the last tick.
-  Milliseconds expectedWait(const DatabaseId &Database, std::uint64_t Shape);
+  /// Learned service time of a shape at the database.
+  Milliseconds serviceTimeOf(const DatabaseId &Database, std::uint64_t Shape);
+  /// Time that the work would wait, as of the last tick.
+  Milliseconds expectedWait(const DatabaseId &Database,
+                            const ScheduledWork &Scheduled);
   /// Work in the database's queue.
   std::size_t waitingAt(const DatabaseId &Database) const;
   /// Work that is queued or has a slot.
--- a/packages/core/ownersystem.cpp
+++ b/packages/core/ownersystem.cpp
@@ -35,6 +35,15 @@
   return "invalid";
 }
 
+static ScheduledWork makeWork(const CallerRequest &Request) {
+  ScheduledWork Work;
+  Work.WorkClass = Request.WorkClass;
+  Work.Caller = Request.Caller;
+  Work.Shape = Request.Shape;
+  Work.Deadline = Request.Deadline;
+  return Work;
+}
+
 OwnerSystem::OwnerSystem(Tables &Data, const Policy &Limits,
                          const OwnershipSystem &Owners, const TermCheck &Terms,
                          const PeerHeartbeat &Self, ExchangeId FirstExchange,
@@ -57,17 +66,21 @@
              Functions_.Answer,
              Functions_.NewIdentifier},
       Transactions_(Parts_), Judge_(Terms),
-      Choice_(Data, Limits, Access_,
-              {[this](const DatabaseId &Database, std::uint64_t Shape) {
-                 return Databases_.expectedWait(Database, Shape);
-               },
-               [this](const DatabaseId &Database) {
-                 return Databases_.loadOf(Database);
-               },
-               [this](const DatabaseId &Database) {
-                 return Databases_.isUnresponsive(Database) ||
-                        Databases_.pool().cannotConnect(Database);
-               }}) {}
+      Choice_(
+          Data, Limits, Access_,
+          {[this](const DatabaseId &Database, const CallerRequest &Request) {
+             return Databases_.expectedWait(Database, makeWork(Request));
+           },
+           [this](const DatabaseId &Database, std::uint64_t Shape) {
+             return Databases_.serviceTimeOf(Database, Shape);
+           },
+           [this](const DatabaseId &Database) {
+             return Databases_.loadOf(Database);
+           },
+           [this](const DatabaseId &Database) {
+             return Databases_.isUnresponsive(Database) ||
+                    Databases_.pool().cannotConnect(Database);
+           }}) {}
 
 OwnerSystem::~OwnerSystem() = default;
 
@@ -204,13 +217,8 @@
 
 void OwnerSystem::enqueue(Task &Target, const DatabaseId &Database,
                           bool AtPrimary, TimePoint Now) {
-  ScheduledWork Work;
-  Work.WorkClass = Target.Request.WorkClass;
-  Work.Caller = Target.Request.Caller;
-  Work.Shape = Target.Request.Shape;
-  Work.Deadline = Target.Request.Deadline;
   const auto Admitted = Databases_.enqueue(
-      Database, Work, true,
+      Database, makeWork(Target.Request), true,
       [this, Id = Target.Id](WorkId Started, ConnectionId Connection,
                              TimePoint At) {
         onStart(Id, Started, Connection, At);
--- a/packages/core/replicachoice.cpp
+++ b/packages/core/replicachoice.cpp
@@ -9,6 +9,9 @@
 
 /// After a stale answer only observed positions count for this time.
 static constexpr Milliseconds PredictionPause{1000};
+/// A read goes to the primary when that saves at least this many times its own
+/// service time of waiting. Below that the primary's slots are kept for writes.
+static constexpr int PrimaryReliefFactor = 4;
 /// A prediction reaches no further ahead than this.
 static constexpr Milliseconds LongestPrediction{400};
 /// Span over which the rate of a replica is measured.
@@ -113,6 +116,19 @@
              Status.Terms) == Freshness::Fresh;
 }
 
+bool ReplicaChoice::isSoonEnough(const CallerRequest &Request,
+                                 const PrimaryAccess &Primary,
+                                 Milliseconds Wait, TimePoint Now) const {
+  if (Now + Wait > Request.Deadline)
+    return false;
+  if (Primary.Answer != PrimaryAccess::Kind::Ready)
+    return true;
+  const Milliseconds Relief =
+      PrimaryReliefFactor *
+      Functions_.ServiceTime(Primary.Database, Request.Shape);
+  return Wait <= Functions_.Wait(Primary.Database, Request) + Relief;
+}
+
 ReadPlace ReplicaChoice::choose(const CallerRequest &Request,
                                 const std::set<DatabaseId> &Avoided,
                                 TimePoint Now) const {
@@ -139,16 +155,17 @@
       // A replica that has not been heard of for a while comes last.
       const std::tuple Rank(
           Now - *Candidate->StatusReceivedAt > 3 * Limits_.StatusInterval,
-          Functions_.Wait(Member, Request.Shape), Functions_.Load(Member));
+          Functions_.Wait(Member, Request), Functions_.Load(Member));
       if (Best == nullptr || Rank < BestRank) {
         Best = Candidate;
         BestRank = Rank;
       }
     }
-    const bool InTime =
-        Best != nullptr && Now + std::get<1>(BestRank) <= Request.Deadline;
-    if (InTime || (Best != nullptr &&
-                   Primary.Answer == PrimaryAccess::Kind::Unavailable)) {
+    const bool PrimaryMayServe =
+        Primary.Answer != PrimaryAccess::Kind::Unavailable;
+    if (Best != nullptr &&
+        (!PrimaryMayServe ||
+         isSoonEnough(Request, Primary, std::get<1>(BestRank), Now))) {
       Place.Answer = ReadPlace::Kind::Database;
       Place.Database = Best->Id;
       return Place;
--- a/packages/core/replicachoice.h
+++ b/packages/core/replicachoice.h
@@ -29,7 +29,10 @@
 public:
   struct Hooks {
     /// Time that the read would wait in the queue of the database.
-    std::function<Milliseconds(const DatabaseId &, std::uint64_t Shape)> Wait;
+    std::function<Milliseconds(const DatabaseId &, const CallerRequest &)> Wait;
+    /// Learned service time of a shape at the database.
+    std::function<Milliseconds(const DatabaseId &, std::uint64_t Shape)>
+        ServiceTime;
     /// Work that the database has from this host, to spread reads evenly.
     std::function<std::size_t(const DatabaseId &)> Load;
     /// True when the database's connections don't work at present.
@@ -72,6 +75,9 @@
   };
 
   bool isUsable(const DatabaseEntity &Candidate) const;
+  /// True when a replica's queue is short enough to spare the primary.
+  bool isSoonEnough(const CallerRequest &Request, const PrimaryAccess &Primary,
+                    Milliseconds Wait, TimePoint Now) const;
   bool isFreshEnough(const CallerRequest &Request, const GroupEntity &Group,
                      const DatabaseEntity &Candidate, TimePoint Now) const;
 
--- a/packages/core/scheduler.cpp
+++ b/packages/core/scheduler.cpp
@@ -123,12 +123,6 @@
   return roundUp(waitMilliseconds(Work, Now));
 }
 
-Milliseconds Scheduler::expectedWait(std::uint64_t Shape, TimePoint Now) const {
-  ScheduledWork Work;
-  Work.Shape = Shape;
-  return expectedWait(Work, Now);
-}
-
 Milliseconds Scheduler::serviceTimeOf(std::uint64_t Shape) const {
   return roundUp(Times_.meanOf(Shape));
 }
--- a/packages/core/scheduler.h
+++ b/packages/core/scheduler.h
@@ -46,8 +46,6 @@
 
   /// Time that new work is expected to wait.
   Milliseconds expectedWait(const ScheduledWork &Work, TimePoint Now) const;
-  /// The same for work of a shape in the default class of a new caller.
-  Milliseconds expectedWait(std::uint64_t Shape, TimePoint Now) const;
 
   /// Learned service time of a shape.
   Milliseconds serviceTimeOf(std::uint64_t Shape) const;
