Drop a replica's measured rate when its log changes

The rate at which a replica applied the log of one term was used to predict its progress in the next, where the replica may have to be fed first. A prediction that is too high costs a dropped answer and a second read.

The tests guard the prediction: with no prediction, or with the progress of the former log kept, one of them fails. Prediction matters only where entries are applied later than they are received.

--- a/packages/core/replicachoice.cpp
+++ b/packages/core/replicachoice.cpp
@@ -34,9 +34,10 @@
                             std::uint64_t Applied, TimePoint Now) {
   Progress &Known = Progress_[Database];
   if (LogTerm != Known.LogTerm || Applied < Known.Applied) {
-    // Another log or one that was cut: what was measured before is void. An
-    // answer that was overtaken by a newer one looks the same and costs one
-    // measurement.
+    // Another log or one that was cut. An answer that was overtaken by a newer
+    // one looks like a cut and costs one measurement.
+    if (LogTerm != Known.LogTerm)
+      Known.Rate = 0;
     Known.LogTerm = LogTerm;
     Known.Applied = Known.RateFrom = Applied;
     Known.At = Known.RateSince = Now;
--- /dev/null
+++ b/tests/core/replicachoicetest.cpp
@@ -0,0 +1,53 @@
+#include "core/replicachoice.h"
+#include "core/ownership.h"
+#include "core/termcheck.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class ReplicaChoiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaChoiceTest);
+  CPPUNIT_TEST(predictsTheProgressOfAReplica);
+  CPPUNIT_TEST(forgetsTheProgressOfAnotherLog);
+  CPPUNIT_TEST_SUITE_END();
+
+  Tables Data_;
+  Policy Limits_;
+  OwnershipSystem Owners_{Data_, "host"};
+  TermCheck Terms_{Data_, Limits_};
+  GroupAccess Access_{Data_, Owners_, Terms_, "host", "near"};
+  ReplicaChoice Choice_{Data_, Limits_, Access_, {}};
+  TimePoint Start_{std::chrono::hours(1)};
+
+  /// One entry in each millisecond.
+  void observeProgress() {
+    for (std::uint64_t At = 0; At <= 1000; At += 100)
+      Choice_.observe("b", 1, 100 + At, Start_ + Milliseconds(At));
+  }
+
+  // Guards against reads at the primary that a replica can serve by now.
+  void predictsTheProgressOfAReplica() {
+    observeProgress();
+    const TimePoint Now = Start_ + Milliseconds(1100);
+    CPPUNIT_ASSERT(Choice_.predictedIndex("b", Now) > 1150);
+    CPPUNIT_ASSERT(Choice_.predictedIndex("b", Now) <= 1200);
+    // A replica that is not heard of isn't expected to go on for ever.
+    CPPUNIT_ASSERT(Choice_.predictedIndex("b", Now + std::chrono::hours(1)) <=
+                   1500);
+    Choice_.onStale("b", Now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1100), Choice_.predictedIndex("b", Now));
+  }
+
+  void forgetsTheProgressOfAnotherLog() {
+    observeProgress();
+    const TimePoint Now = Start_ + Milliseconds(1100);
+    Choice_.observe("b", 2, 500, Now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(500),
+                         Choice_.predictedIndex("b", Now + Milliseconds(90)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaChoiceTest);
+
+} // namespace nutmegloom
