Test membership, ownership and the configuration system

Change: hosts find each other through a seed, silent hosts are suspected and dropped, a host that is cut off does not forget the majority, both signs that a database leaves count, only the keys of a removed host move, a lower or refused configuration is never put in force, and a restart without the store takes the highest version that a peer delivers.

Each mechanism was removed once and its test failed, except the age limit of summaries: senders leave suspected hosts out already, so the limit only covers senders of another version.

Conclusion: 9 tests pass.

--- /dev/null
+++ b/tests/core/membershiptest.cpp
@@ -0,0 +1,250 @@
+#include "core/membership.h"
+#include "core/configurationsystem.h"
+#include "core/ownership.h"
+#include "core/rendezvous.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+namespace nutmegloom {
+
+namespace {
+
+/// Hosts whose heartbeats and replies arrive at once.
+class Fleet {
+public:
+  struct Host {
+    Tables Data;
+    std::unique_ptr<MembershipSystem> Members;
+    bool Up = true;
+  };
+
+  Host &add(const std::string &Name) {
+    Host &Self = Hosts_[Name];
+    const PeerHeartbeat Beat{
+        Name, "1", "lima", "lima-miraflores", Name, HostState::Ready, 1, {}};
+    Self.Members = std::make_unique<MembershipSystem>(
+        Self.Data, Limits_, Beat,
+        MembershipSystem::Hooks{
+            [this, &Self](const HostEntity &To, const PeerHeartbeat &Sent) {
+              const auto Found = Hosts_.find(To.PeerAddress);
+              if (Found == Hosts_.end() || !Found->second.Up || !Self.Up)
+                return;
+              Found->second.Members->onHeartbeat(Sent, Now_);
+              Self.Members->onHeartbeat(Found->second.Members->self(), Now_);
+            }});
+    return Self;
+  }
+
+  void run(Milliseconds Span) {
+    for (Milliseconds Passed{0}; Passed < Span; Passed += Limits_.Heartbeat) {
+      Now_ += Limits_.Heartbeat;
+      for (auto &[Name, Host] : Hosts_)
+        if (Host.Up)
+          Host.Members->tick(Now_);
+    }
+  }
+
+  Host &operator[](const std::string &Name) { return Hosts_.at(Name); }
+  TimePoint now() const { return Now_; }
+
+private:
+  Policy Limits_;
+  TimePoint Now_ = TimePoint(std::chrono::hours(1));
+  std::map<std::string, Host> Hosts_;
+};
+
+} // namespace
+
+class MembershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembershipTest);
+  CPPUNIT_TEST(findsHostsThroughASeedWithoutTheList);
+  CPPUNIT_TEST(suspectsAndForgetsASilentHost);
+  CPPUNIT_TEST(isCutOffWithoutMajorityAndStore);
+  CPPUNIT_TEST(keepsBothSignsThatADatabaseLeaves);
+  CPPUNIT_TEST(movesOnlyTheKeysOfARemovedHost);
+  CPPUNIT_TEST(ownersOfTheRegionComeFirst);
+  CPPUNIT_TEST(neverAcceptsALowerConfiguration);
+  CPPUNIT_TEST(takesTheHighestVersionFromPeersWithoutTheStore);
+  CPPUNIT_TEST(doesNotAskAgainForARefusedText);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Without the platform's list, hosts that share only a seed would each serve
+  // as the owner of everything.
+  void findsHostsThroughASeedWithoutTheList() {
+    Fleet Hosts;
+    for (const char *Name : {"a", "b", "c", "d"})
+      Hosts.add(Name).Members->addSeed("a");
+    Hosts.run(Milliseconds(3000));
+    for (const char *Name : {"a", "b", "c", "d"}) {
+      CPPUNIT_ASSERT(Hosts[Name].Data.Hosts.size() == 4);
+      for (const auto &[Other, Host] : Hosts[Name].Data.Hosts)
+        CPPUNIT_ASSERT(isLive(Host));
+    }
+  }
+
+  // A host that stays in the table after its death would be asked forever, and
+  // peers would introduce it to each other again.
+  void suspectsAndForgetsASilentHost() {
+    Fleet Hosts;
+    for (const char *Name : {"a", "b", "c"})
+      Hosts.add(Name).Members->addSeed("a");
+    Hosts.run(Milliseconds(3000));
+    Hosts["c"].Up = false;
+    Hosts.run(Milliseconds(2500));
+    CPPUNIT_ASSERT(!isLive(Hosts["a"].Data.Hosts.at("c")));
+    Hosts.run(Milliseconds(40000));
+    CPPUNIT_ASSERT(!Hosts["a"].Data.Hosts.contains("c"));
+    CPPUNIT_ASSERT(!Hosts["b"].Data.Hosts.contains("c"));
+  }
+
+  // A host that forgets the majority that it misses would call itself ready.
+  void isCutOffWithoutMajorityAndStore() {
+    Fleet Hosts;
+    for (const char *Name : {"a", "b", "c"})
+      Hosts.add(Name).Members->addSeed("a");
+    Hosts.run(Milliseconds(3000));
+    CPPUNIT_ASSERT(!Hosts["a"].Members->isCutOff(Hosts.now()));
+    Hosts["b"].Up = Hosts["c"].Up = false;
+    Hosts.run(Milliseconds(60000));
+    CPPUNIT_ASSERT(Hosts["a"].Members->isCutOff(Hosts.now()));
+    Hosts["a"].Members->onStoreHeard(Hosts.now());
+    CPPUNIT_ASSERT(!Hosts["a"].Members->isCutOff(Hosts.now()));
+  }
+
+  // A list that lags behind would otherwise undo what the database says.
+  void keepsBothSignsThatADatabaseLeaves() {
+    Fleet Hosts;
+    Fleet::Host &Self = Hosts.add("a");
+    DatabaseEntity &Database = Self.Data.Databases["d"];
+    const auto List = [&](bool Leaving) {
+      ListedHost Listed;
+      Listed.Name = "d";
+      Listed.Role = "database";
+      Listed.Leaving = Leaving;
+      Self.Members->onHostList({Listed}, Hosts.now());
+    };
+    List(true);
+    CPPUNIT_ASSERT(Database.Leaving);
+    Database.Status.Leaving = true;
+    Database.StatusSentAt = Hosts.now();
+    List(false);
+    CPPUNIT_ASSERT(Database.Leaving);
+    Database.Status.Leaving = false;
+    List(false);
+    CPPUNIT_ASSERT(!Database.Leaving);
+  }
+
+  // Every other key that moves would cost a queue and a pool of connections.
+  void movesOnlyTheKeysOfARemovedHost() {
+    std::vector<HostName> Hosts;
+    Hosts.reserve(9);
+    for (int Index = 0; Index < 9; ++Index)
+      Hosts.push_back("entry-" + std::to_string(Index));
+    int Moved = 0;
+    for (int Index = 0; Index < 900; ++Index) {
+      const std::string Key = "salas-db/" + std::to_string(Index);
+      const HostName First = rankHosts(Key, Hosts).front();
+      const HostName Next =
+          rankHosts(Key, {Hosts.begin() + 1, Hosts.end()}).front();
+      CPPUNIT_ASSERT(First == Next || First == Hosts.front());
+      Moved += First == Hosts.front() ? 1 : 0;
+    }
+    // The share of one host is 100; far from it the load would be uneven.
+    CPPUNIT_ASSERT(Moved > 60 && Moved < 140);
+  }
+
+  void ownersOfTheRegionComeFirst() {
+    Tables Data;
+    for (const char *Name : {"a", "b", "c", "d"}) {
+      HostEntity &Host = Data.Hosts[Name];
+      Host.Name = Name;
+      Host.Region = Host.Name < "c" ? "lima" : "arequipa";
+      Host.State = HostState::Ready;
+    }
+    const OwnershipSystem Owners(Data, "a");
+    CPPUNIT_ASSERT(Owners.ownersOf("g", "arequipa").front() >= "c");
+    Data.Hosts["c"].Suspected = true;
+    CPPUNIT_ASSERT(Owners.ownersOf("g", "arequipa").front() == "d");
+    Data.Hosts["d"].State = HostState::Leaving;
+    CPPUNIT_ASSERT(Owners.ownersOf("g", "arequipa").front() < "c");
+  }
+
+  struct Configured {
+    Tables Data;
+    Policy Limits;
+    int Watches = 0;
+    std::uint64_t WatchedAfter = 0;
+    std::vector<HostName> Fetched;
+    bool Valid = true;
+    ConfigurationSystem System{
+        Data,
+        Limits,
+        "a",
+        "zone",
+        {[this](std::uint64_t After) {
+           ++Watches;
+           WatchedAfter = After;
+         },
+         [this](const HostName &Host) { Fetched.push_back(Host); },
+         [this](std::uint64_t, const std::string &) { return Valid; }}};
+    const TimePoint Start = TimePoint(std::chrono::hours(1));
+
+    void announce(const HostName &Name, std::uint64_t Version) {
+      Data.Hosts[Name].Name = Name;
+      Data.Hosts[Name].ConfigurationVersion = Version;
+    }
+  };
+
+  // A store that was restored from a copy, or a slow peer, would bring back an
+  // edit that was replaced.
+  void neverAcceptsALowerConfiguration() {
+    Configured Host;
+    Host.System.onStoreConfiguration(5, "five", Host.Start);
+    Host.System.onStoreConfiguration(4, "four", Host.Start);
+    Host.System.onPeerConfiguration("b", 3, "three", Host.Start);
+    CPPUNIT_ASSERT(Host.System.version() == 5 && Host.System.text() == "five");
+  }
+
+  // A host that restarts while the store is down could not serve.
+  void takesTheHighestVersionFromPeersWithoutTheStore() {
+    Configured Host;
+    Host.announce("b", 6);
+    Host.announce("c", 7);
+    Host.System.tick(Host.Start);
+    CPPUNIT_ASSERT(Host.Watches == 1);
+    Host.System.onStoreFailed(Host.Start);
+    CPPUNIT_ASSERT(Host.Fetched == std::vector<HostName>{"c"});
+    Host.System.onPeerFailed("c", Host.Start);
+    Host.System.tick(Host.Start + Milliseconds(10));
+    CPPUNIT_ASSERT(Host.Fetched.back() == "b");
+    Host.System.onPeerConfiguration("b", 6, "six", Host.Start);
+    CPPUNIT_ASSERT(Host.System.version() == 6);
+    CPPUNIT_ASSERT(Host.System.source() == ConfigurationSource::Peers);
+    Host.System.tick(Host.Start + Milliseconds(2000));
+    CPPUNIT_ASSERT(Host.Fetched.back() == "c");
+    CPPUNIT_ASSERT(Host.Watches == 2);
+  }
+
+  // Asking again at once for a text that is not valid would load the store and
+  // the peers without end.
+  void doesNotAskAgainForARefusedText() {
+    Configured Host;
+    Host.System.onStoreConfiguration(5, "five", Host.Start);
+    Host.Valid = false;
+    Host.System.onStoreConfiguration(6, "bad", Host.Start);
+    CPPUNIT_ASSERT(Host.System.version() == 5);
+    CPPUNIT_ASSERT(Host.System.refusedVersion() == 6);
+    Host.announce("b", 6);
+    Host.System.tick(Host.Start);
+    CPPUNIT_ASSERT(Host.Fetched.empty() && Host.WatchedAfter == 6);
+    Host.Valid = true;
+    Host.System.onStoreConfiguration(7, "seven", Host.Start);
+    CPPUNIT_ASSERT(Host.System.version() == 7);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
+
+} // namespace nutmegloom
