--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -11,8 +11,10 @@
 static const SystemKind AllKinds[] = {
     SystemKind::PrimaryReads, SystemKind::RandomReads, SystemKind::Nutmegloom};
 
-static double percent(double Part, double Whole) {
-  return Whole > 0 ? 100.0 * Part / Whole : 0.0;
+static double percent(std::uint64_t Part, std::uint64_t Whole) {
+  if (Whole == 0)
+    return 0.0;
+  return 100.0 * static_cast<double>(Part) / static_cast<double>(Whole);
 }
 
 static const char *labelOf(SystemKind Kind) { return nameOf(Kind).data(); }
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -16,4 +16,7 @@
   add_executable(${Name} ${Arg_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/main.cpp)
   target_link_libraries(${Name} PRIVATE ${Arg_LINK} cppunit)
   add_test(NAME ${Name} COMMAND ${Name})
+  # Tests set their own seeds; this one keeps RapidCheck from drawing another
+  # for anything that does not.
+  set_tests_properties(${Name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
--- a/packages/core/concurrencylimit.cpp
+++ b/packages/core/concurrencylimit.cpp
@@ -19,7 +19,7 @@
 /// Levels for each slot. A statement holds its place here for the round trip
 /// as well as for its time in the slot, so the slots stay busy only when more
 /// statements are under way than there are slots.
-static constexpr std::uint32_t LevelsPerSlot = 3;
+static constexpr std::size_t LevelsPerSlot = 3;
 
 ConcurrencyLimit::ConcurrencyLimit(std::uint32_t Slots) { setSlots(Slots); }
 
--- a/packages/core/scheduler.cpp
+++ b/packages/core/scheduler.cpp
@@ -75,7 +75,7 @@
   // The concurrency limit counts the round trip as well as the slots, so the
   // long statements take their part of it.
   const std::uint32_t Free = Slots_ > LongNow ? Slots_ - LongNow : 0;
-  return std::max(1U, Concurrency_.limit() * Free / Slots_);
+  return std::max(1U, Concurrency_.limit() * Free / std::max(Slots_, 1U));
 }
 
 std::uint32_t Scheduler::longRunning(TimePoint Now) const {
