--- a/packages/core/concurrencylimit.cpp
+++ b/packages/core/concurrencylimit.cpp
@@ -11,8 +11,8 @@
 /// Samples needed before a level is judged.
 static constexpr std::uint32_t EnoughSamples = 50;
 /// Throughput gain per added statement below which more is no use.
-static constexpr double UsefulGain = 1.03;
-/// Statements between two tries of the next higher level.
+static constexpr double UsefulGain = 1.06;
+/// Statements at the limit between two tries of the next higher level.
 static constexpr std::uint32_t ProbeInterval = 200;
 /// Levels above the slots. A statement holds its place here for the round
 /// trip as well as for its time in the slot, so the slots stay busy only when
@@ -37,7 +37,8 @@
   // The mean of the first samples, then a moving mean.
   const double Weight = std::max(Gain, 1.0 / Entry.Samples);
   Entry.Ratio += Weight * (std::min(Ratio, RatioCap) - Entry.Ratio);
-  update();
+  if (Concurrency == Limit_)
+    update();
 }
 
 void ConcurrencyLimit::update() {
@@ -57,8 +58,10 @@
     return;
   const double Work = Limit_ / Top.Ratio;
   const double WorkBelow = (Limit_ - 1) / Below.Ratio;
-  if (Work < WorkBelow * UsefulGain)
+  if (Work < WorkBelow * UsefulGain) {
     --Limit_;
+    SinceProbe_ = 0;
+  }
 }
 
 } // namespace nutmegloom
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -4,6 +4,8 @@
 
 namespace nutmegloom {
 
+/// How often connections and exchanges are checked.
+static constexpr Milliseconds ReviewInterval{20};
 /// Youngest age at which an exchange is examined for progress.
 static constexpr Milliseconds ProgressCheckAge{500};
 /// Time for which a database is avoided after it lost an exchange.
@@ -269,8 +271,7 @@
                    std::to_string(Candidate.Id)) == Executing.end();
 }
 
-void Dispatcher::tick(TimePoint Now) {
-  LastTick_ = Now;
+void Dispatcher::giveUpLost(TimePoint Now) {
   std::vector<ConnectionId> Lost;
   for (const auto &[Connection, Candidate] : Exchanges_)
     if (isLost(Candidate, Now))
@@ -285,11 +286,20 @@
     Failure.Exchange = Found->second.Id;
     Failure.Detail = "the connection stopped responding";
     Functions_.Connections.Close(Connection);
-    // What silenced this connection may have silenced the idle ones as well.
-    Pool_.dropIdle(Database);
+    // What silenced this connection may have silenced others as well, also
+    // those to other databases on the same network path.
+    Pool_.dropIdle(Database, Found->second.SentAt);
     endExchange(Connection, Failure, false, true, Now);
   }
-  Pool_.tick(Now);
+}
+
+void Dispatcher::tick(TimePoint Now) {
+  LastTick_ = Now;
+  if (!NextReview_ || Now >= *NextReview_) {
+    NextReview_ = Now + ReviewInterval;
+    giveUpLost(Now);
+    Pool_.tick(Now);
+  }
   std::vector<DatabaseId> Databases;
   for (const auto &[Database, Target] : Members_)
     if (Target.Queue.waiting() > 0 || !Target.WantConnection.empty())
@@ -312,6 +322,18 @@
   return memberOf(Database).Queue.expectedWait(Shape, LastTick_);
 }
 
+std::size_t Dispatcher::waitingAt(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found == Members_.end() ? 0 : Found->second.Queue.waiting();
+}
+
+std::size_t Dispatcher::loadOf(const DatabaseId &Database) const {
+  const auto Found = Members_.find(Database);
+  return Found == Members_.end()
+             ? 0
+             : Found->second.Queue.waiting() + Found->second.Queue.running();
+}
+
 bool Dispatcher::isUnresponsive(const DatabaseId &Database) const {
   const auto Found = Members_.find(Database);
   return Found != Members_.end() && Found->second.LostAt &&
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -82,6 +82,10 @@
 
   /// Time that work of the shape would wait, as of the last tick.
   Milliseconds expectedWait(const DatabaseId &Database, std::uint64_t Shape);
+  /// Work in the database's queue.
+  std::size_t waitingAt(const DatabaseId &Database) const;
+  /// Work that is queued or has a slot.
+  std::size_t loadOf(const DatabaseId &Database) const;
   const ConnectionPool &pool() const { return Pool_; }
   /// True when an exchange of the database was lost a short time ago.
   bool isUnresponsive(const DatabaseId &Database) const;
@@ -97,6 +101,7 @@
                    bool Executed, bool Closed, TimePoint Now);
   void freeSlot(WorkId Work, bool Executed, TimePoint Now);
   bool isLost(const Exchange &Candidate, TimePoint Now);
+  void giveUpLost(TimePoint Now);
 
   const Tables &Data_;
   const Policy &Limits_;
@@ -110,6 +115,7 @@
   WorkId LastWork_ = 0;
   ExchangeId NextExchange_;
   TimePoint LastTick_;
+  std::optional<TimePoint> NextReview_;
 };
 
 } // namespace nutmegloom
--- a/packages/core/ownersystem.cpp
+++ b/packages/core/ownersystem.cpp
@@ -61,6 +61,9 @@
               {[this](const DatabaseId &Database, std::uint64_t Shape) {
                  return Databases_.expectedWait(Database, Shape);
                },
+               [this](const DatabaseId &Database) {
+                 return Databases_.loadOf(Database);
+               },
                [this](const DatabaseId &Database) {
                  return Databases_.isUnresponsive(Database) ||
                         Databases_.pool().cannotConnect(Database);
@@ -102,6 +105,18 @@
                                         "\" is not in the configuration"));
     return;
   }
+  const bool NeedsKey = Request.Step == RequestStep::Commit ||
+                        Request.Step == RequestStep::Settle ||
+                        (Request.Step == RequestStep::Statement &&
+                         Request.Kind == StatementKind::Write);
+  if (NeedsKey && Request.Key.empty()) {
+    // The entry makes a key. Without one an outcome could never be found.
+    const bool Settle = Request.Step == RequestStep::Settle;
+    Functions_.Answer(Id, makeError(Settle ? Outcome::Unknown : Outcome::NotRun,
+                                    ErrorCode::BadRequest,
+                                    "a write needs an idempotency key"));
+    return;
+  }
   Group->second.Active = true;
   Group->second.LastUsed = Now;
   if (Request.Step != RequestStep::Statement &&
@@ -609,6 +624,12 @@
 
 void OwnerSystem::onStatus(const DatabaseStatus &Status, TimePoint Now) {
   Choice_.observe(Status.Database, Status.LogTerm, Status.Applied, Now);
+  if (const DatabaseEntity *Database = Access_.findDatabase(Status.Database))
+    onGroupChanged(Database->Group);
+}
+
+void OwnerSystem::onGroupChanged(const GroupId &Group) {
+  Confirmations_.onStatus(Group);
 }
 
 void OwnerSystem::tick(TimePoint Now) {
@@ -640,6 +661,14 @@
   return Tasks_.empty() && Transactions_.isIdle();
 }
 
+std::size_t OwnerSystem::waitingIn(const GroupEntity &Group) const {
+  const auto Found = Waiting_.find(Group.Id);
+  std::size_t Count = Found == Waiting_.end() ? 0 : Found->second.size();
+  for (const DatabaseId &Member : Group.Members)
+    Count += Databases_.waitingAt(Member);
+  return Count;
+}
+
 bool OwnerSystem::isInUse(const GroupId &Group) const {
   return Transactions_.isInUse(Group) ||
          std::any_of(Tasks_.begin(), Tasks_.end(), [&](const auto &Entry) {
--- a/packages/core/ownersystem.h
+++ b/packages/core/ownersystem.h
@@ -43,6 +43,8 @@
   void onDatabaseFailure(ConnectionId Connection,
                          const DatabaseFailure &Failure, TimePoint Now);
   void onStatus(const DatabaseStatus &Status, TimePoint Now);
+  /// A group was removed or its primary changed without a status.
+  void onGroupChanged(const GroupId &Group);
 
   void tick(TimePoint Now);
   /// Refuses new transactions, so that their callers begin them elsewhere.
@@ -50,6 +52,8 @@
   bool isIdle() const;
   /// True when work of the group is in progress here.
   bool isInUse(const GroupId &Group) const;
+  /// Work that waits for a primary or in the queue of a database.
+  std::size_t waitingIn(const GroupEntity &Group) const;
 
 private:
   struct Task {
--- a/packages/core/replicachoice.h
+++ b/packages/core/replicachoice.h
@@ -30,6 +30,8 @@
   struct Hooks {
     /// Time that the read would wait in the queue of the database.
     std::function<Milliseconds(const DatabaseId &, std::uint64_t Shape)> Wait;
+    /// Work that the database has from this host, to spread reads evenly.
+    std::function<std::size_t(const DatabaseId &)> Load;
     /// True when the database's connections don't work at present.
     std::function<bool(const DatabaseId &)> IsUnresponsive;
   };
@@ -47,7 +49,7 @@
 
   ReadPlace choose(const CallerRequest &Request,
                    const std::set<DatabaseId> &Avoided, TimePoint Now) const;
-  /// True when a read that waits for the database may stay in its queue.
+  /// True when a read that waits for a replica may stay in its queue.
   bool isStillGood(const CallerRequest &Request, const DatabaseId &Database,
                    TimePoint Now) const;
 
--- /dev/null
+++ b/tests/core/enginetest.cpp
@@ -0,0 +1,356 @@
+#include "tests/core/answercheck.h"
+#include "tests/core/enginefixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class EngineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EngineTest);
+  CPPUNIT_TEST(holdsAWriteBackUntilAMajorityHoldsIt);
+  CPPUNIT_TEST(holdsAnAnswerBackWhileTheTermCheckFails);
+  CPPUNIT_TEST(readsWithoutATokenAtThePrimary);
+  CPPUNIT_TEST(readsAtThePrimaryWhileReplicasLag);
+  CPPUNIT_TEST(neverReturnsDataOlderThanTheToken);
+  CPPUNIT_TEST(dropsAnswersOfADiscardedBranch);
+  CPPUNIT_TEST(reportsALostWriteOfTheSession);
+  CPPUNIT_TEST(movesReadsOffALeavingReplica);
+  CPPUNIT_TEST(movesReadsOffAnUnreachableReplica);
+  CPPUNIT_TEST(servesReadsWhileThereIsNoPrimary);
+  CPPUNIT_TEST(answersWaitingWritesWithNotRun);
+  CPPUNIT_TEST(boundsTheWritesThatWaitForAPrimary);
+  CPPUNIT_TEST(findsTheOutcomeOfAWriteWithALostAnswer);
+  CPPUNIT_TEST(closesTheKeyOfAWriteBeforeItIsNotRun);
+  CPPUNIT_TEST(confirmsACloseBeforeItIsReported);
+  CPPUNIT_TEST(reportsReuseOfAKey);
+  CPPUNIT_TEST(settlesAtTheNewPrimary);
+  CPPUNIT_TEST(givesUpAnUnresponsiveConnection);
+  CPPUNIT_TEST(waitsForAStragglerThatTheDatabaseLists);
+  CPPUNIT_TEST(dropsAnAnswerOfAnotherExchange);
+  CPPUNIT_TEST(settlesAWriteBeforeItsDeadline);
+  CPPUNIT_TEST(staysWithinItsShareOfConnections);
+  CPPUNIT_TEST(cancelsAWaitingWrite);
+  CPPUNIT_TEST(finishesItsWorkWhenItDrains);
+  CPPUNIT_TEST(keepsARemovedGroupUntilItsWorkEnds);
+  CPPUNIT_TEST_SUITE_END();
+
+  EngineFixture Fixture_;
+
+  void write(const std::string &Key) {
+    CPPUNIT_ASSERT(
+        Fixture_.await(Fixture_.submit(Fixture_.makeWrite(Key))).Result ==
+        Outcome::Run);
+  }
+
+  // Guards against an acknowledged write that only its primary has.
+  void holdsAWriteBackUntilAMajorityHoldsIt() {
+    Fixture_.database("b").Lag = Fixture_.database("c").Lag = Milliseconds(300);
+    const TaskId Task = Fixture_.submit(Fixture_.makeWrite("k"));
+    Fixture_.run(Milliseconds(250));
+    CPPUNIT_ASSERT(!Fixture_.Answers.contains(Task));
+    checkAnswer(Fixture_.await(Task), Outcome::Run, ErrorCode::None);
+  }
+
+  // Guards against an answer of a primary that was replaced unnoticed, for
+  // example while this host was paused.
+  void holdsAnAnswerBackWhileTheTermCheckFails() {
+    CallerRequest Read = Fixture_.makeRead("k");
+    Read.Required.reset();
+    Fixture_.WorkTime = Milliseconds(600);
+    const TaskId Task = Fixture_.submit(Read);
+    Fixture_.run(Milliseconds(100));
+    Fixture_.setCut("b", true);
+    Fixture_.setCut("c", true);
+    Fixture_.run(Milliseconds(700));
+    CPPUNIT_ASSERT(!Fixture_.Answers.contains(Task));
+    Fixture_.setCut("b", false);
+    checkAnswer(Fixture_.await(Task), Outcome::Run, ErrorCode::None);
+  }
+
+  // Guards against a session that loses its token and then its own writes.
+  void readsWithoutATokenAtThePrimary() {
+    write("k");
+    CallerRequest Read = Fixture_.makeRead("k");
+    Read.Required.reset();
+    const CallerAnswer &Answer = Fixture_.await(Fixture_.submit(Read));
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("a"), Answer.Database);
+    CPPUNIT_ASSERT(!Answer.FromReplica);
+  }
+
+  void readsAtThePrimaryWhileReplicasLag() {
+    Fixture_.database("c").Lag = Milliseconds(5000);
+    Fixture_.database("b").Lag = Milliseconds(200);
+    write("k");
+    Fixture_.database("b").Leaving = true;
+    Fixture_.run(Milliseconds(300));
+    CallerRequest Read = Fixture_.makeRead("k");
+    Read.Required = Position{1, 2};
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("a"),
+                         Fixture_.await(Fixture_.submit(Read)).Database);
+  }
+
+  // Guards against trust in the prediction: the replica's log is cut back
+  // between its status and the read.
+  void neverReturnsDataOlderThanTheToken() {
+    write("k");
+    Fixture_.run(Milliseconds(20));
+    for (const char *Id : {"b", "c"}) {
+      Fixture_.database(Id).Log.resize(1);
+      Fixture_.database(Id).Lag = Milliseconds(5000);
+    }
+    CallerRequest Read = Fixture_.makeRead("k");
+    Read.Required = Position{1, 2};
+    const CallerAnswer &Answer = Fixture_.await(Fixture_.submit(Read));
+    CPPUNIT_ASSERT_EQUAL(std::string("found"), Answer.Body);
+    CPPUNIT_ASSERT(Fixture_.Host->counters().StaleAnswersDropped > 0);
+  }
+
+  // Guards against a read of entries that a failover has cut off. The status
+  // of the replica is older than the entries.
+  void dropsAnswersOfADiscardedBranch() {
+    Fixture_.setCut("c", true);
+    Fixture_.run(Milliseconds(50));
+    Fixture_.setCut("a", true);
+    Fixture_.setCut("c", false);
+    Fixture_.run(Milliseconds(4000));
+    CPPUNIT_ASSERT(Fixture_.primary()->Term > 1);
+    const DatabaseId Replica = Fixture_.primary()->Id == "b" ? "c" : "b";
+    FakeDatabase &Branch = Fixture_.database(Replica);
+    Branch.Lag = Milliseconds(60000);
+    Branch.Log.resize(1);
+    for (int Count = 0; Count < 4; ++Count)
+      Branch.Log.push_back({1, "cut off", false, 0, Fixture_.Now});
+    const CallerAnswer &Answer =
+        Fixture_.await(Fixture_.submit(Fixture_.makeRead("cut off")));
+    CPPUNIT_ASSERT_EQUAL(std::string("absent"), Answer.Body);
+  }
+
+  void reportsALostWriteOfTheSession() {
+    Fixture_.setCut("a", true);
+    Fixture_.run(Milliseconds(4000));
+    CallerRequest Read = Fixture_.makeRead("k");
+    Read.Required = Position{1, 40};
+    checkAnswer(Fixture_.await(Fixture_.submit(Read)), Outcome::NotRun,
+                ErrorCode::WriteLost);
+  }
+
+  void movesReadsOffALeavingReplica() {
+    Fixture_.database("b").Leaving = true;
+    Fixture_.run(Milliseconds(400));
+    for (int Count = 0; Count < 20; ++Count)
+      CPPUNIT_ASSERT_EQUAL(
+          DatabaseId("c"),
+          Fixture_.await(Fixture_.submit(Fixture_.makeRead("k"))).Database);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture_.connectionsOf("b"));
+  }
+
+  // Guards against reads that fail or wait while another replica is well.
+  void movesReadsOffAnUnreachableReplica() {
+    Fixture_.await(Fixture_.submit(Fixture_.makeRead("k")));
+    Fixture_.setCut("b", true);
+    Fixture_.run(Milliseconds(330));
+    for (int Count = 0; Count < 5; ++Count)
+      Fixture_.await(Fixture_.submit(Fixture_.makeRead("k")));
+    for (const auto &[Task, Answer] : Fixture_.Answers)
+      checkAnswer(Answer, Outcome::Run, ErrorCode::None);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Fixture_.Host->counters().Retries);
+  }
+
+  void servesReadsWhileThereIsNoPrimary() {
+    Fixture_.setCut("a", true);
+    Fixture_.setCut("b", true);
+    Fixture_.run(Milliseconds(3000));
+    const CallerAnswer &Answer =
+        Fixture_.await(Fixture_.submit(Fixture_.makeRead("k")));
+    checkAnswer(Answer, Outcome::Run, ErrorCode::None);
+    CPPUNIT_ASSERT(Answer.FromReplica);
+  }
+
+  // Guards against a write that is sent to a primary that can't confirm it
+  // and then has an unknown outcome.
+  void answersWaitingWritesWithNotRun() {
+    Fixture_.setCut("b", true);
+    Fixture_.setCut("c", true);
+    Fixture_.run(Milliseconds(1000));
+    const CallerAnswer &Answer =
+        Fixture_.await(Fixture_.submit(Fixture_.makeWrite("k")));
+    checkAnswer(Answer, Outcome::NotRun, ErrorCode::NoPrimary);
+    CPPUNIT_ASSERT(Answer.RetryAfter > Milliseconds(0));
+  }
+
+  void boundsTheWritesThatWaitForAPrimary() {
+    Fixture_.setCut("a", true);
+    Fixture_.setCut("b", true);
+    Fixture_.run(Milliseconds(1000));
+    const std::size_t Bound = Fixture_.Host->policy().WaitingRequests;
+    for (std::size_t Count = 0; Count < Bound + 5; ++Count)
+      Fixture_.submit(Fixture_.makeWrite("k" + std::to_string(Count)));
+    Fixture_.run(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), Fixture_.Answers.size());
+  }
+
+  void findsTheOutcomeOfAWriteWithALostAnswer() {
+    Fixture_.LoseAnswers = 1;
+    const CallerAnswer &Answer =
+        Fixture_.await(Fixture_.submit(Fixture_.makeWrite("k")));
+    checkAnswer(Answer, Outcome::Run, ErrorCode::None);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Fixture_.primary()->countOf("k"));
+  }
+
+  // Guards against a late copy of a write that was reported as not run.
+  void closesTheKeyOfAWriteBeforeItIsNotRun() {
+    Fixture_.RequestDelay = Milliseconds(300);
+    const TaskId Task = Fixture_.submit(Fixture_.makeWrite("k"));
+    Fixture_.run(Milliseconds(50));
+    Fixture_.RequestDelay = Milliseconds(0);
+    Fixture_.breakConnections("a");
+    checkAnswer(Fixture_.await(Task), Outcome::NotRun, ErrorCode::NoPrimary);
+    Fixture_.run(Milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture_.primary()->countOf("k"));
+  }
+
+  // Guards against a closed key that a failover loses: an owner that wakes up
+  // later could send its copy of the write to the next primary.
+  void confirmsACloseBeforeItIsReported() {
+    Fixture_.RequestDelay = Milliseconds(300);
+    const TaskId Task = Fixture_.submit(Fixture_.makeWrite("k"));
+    Fixture_.run(Milliseconds(50));
+    Fixture_.RequestDelay = Milliseconds(0);
+    Fixture_.database("b").Lag = Fixture_.database("c").Lag = Milliseconds(400);
+    Fixture_.breakConnections("a");
+    Fixture_.run(Milliseconds(300));
+    CPPUNIT_ASSERT(!Fixture_.Answers.contains(Task));
+    checkAnswer(Fixture_.await(Task), Outcome::NotRun, ErrorCode::NoPrimary);
+  }
+
+  void reportsReuseOfAKey() {
+    write("k");
+    CallerRequest Other = Fixture_.makeWrite("k");
+    Other.Fingerprint = 2;
+    checkAnswer(Fixture_.await(Fixture_.submit(Other)), Outcome::NotRun,
+                ErrorCode::KeyReused);
+  }
+
+  // Guards against an unknown or wrong outcome of a write whose primary fails
+  // before a majority has the write.
+  void settlesAtTheNewPrimary() {
+    Fixture_.database("b").Lag = Fixture_.database("c").Lag =
+        Milliseconds(1000);
+    CallerRequest Write = Fixture_.makeWrite("k");
+    Write.Deadline += Milliseconds(5000);
+    const TaskId Task = Fixture_.submit(Write);
+    Fixture_.run(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Fixture_.database("a").countOf("k"));
+    Fixture_.setCut("a", true);
+    checkAnswer(Fixture_.await(Task), Outcome::NotRun, ErrorCode::NoPrimary);
+    Fixture_.setCut("a", false);
+    Fixture_.run(Milliseconds(3000));
+    for (const auto &[Id, Each] : Fixture_.Databases)
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), Each.countOf("k"));
+  }
+
+  // Guards against requests that wait for an open connection that is no longer
+  // served while new ones work.
+  void givesUpAnUnresponsiveConnection() {
+    write("k1");
+    for (int Count = 0; Count < 4; ++Count)
+      Fixture_.submit(Fixture_.makeRead("k1"));
+    Fixture_.run(Milliseconds(50));
+    Fixture_.silenceConnections();
+    const TaskId Task = Fixture_.submit(Fixture_.makeWrite("k2"));
+    const TaskId Read = Fixture_.submit(Fixture_.makeRead("k1"));
+    Fixture_.run(Milliseconds(800));
+    CPPUNIT_ASSERT(Fixture_.Answers.contains(Read));
+    checkAnswer(Fixture_.await(Task), Outcome::NotRun, ErrorCode::NoPrimary);
+    checkAnswer(Fixture_.await(Fixture_.submit(Fixture_.makeWrite("k3"))),
+                Outcome::Run, ErrorCode::None);
+    CPPUNIT_ASSERT(Fixture_.Violation.empty());
+  }
+
+  // Guards against giving up work that is only slow.
+  void waitsForAStragglerThatTheDatabaseLists() {
+    Fixture_.WorkTime = Milliseconds(3000);
+    checkAnswer(Fixture_.await(Fixture_.submit(Fixture_.makeWrite("k"))),
+                Outcome::Run, ErrorCode::None);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Fixture_.Sent.size());
+  }
+
+  // Guards against an answer that reaches the wrong caller.
+  void dropsAnAnswerOfAnotherExchange() {
+    Fixture_.WorkTime = Milliseconds(100);
+    CallerRequest Read = Fixture_.makeRead("k");
+    Read.Required.reset();
+    const TaskId Task = Fixture_.submit(Read);
+    Fixture_.run(Milliseconds(50));
+    DatabaseAnswer Late;
+    Late.Exchange = Fixture_.Sent.back().Request.Exchange - 1;
+    Late.Result = "of another caller";
+    Late.LogTerm = Late.Index = 1;
+    Late.Terms = {{1, 0}};
+    Fixture_.Host->onDatabaseAnswer(Fixture_.Sent.back().Connection, Late,
+                                    Fixture_.Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("absent"), Fixture_.await(Task).Body);
+  }
+
+  // Guards against an unknown outcome of a write that is only slow.
+  void settlesAWriteBeforeItsDeadline() {
+    Fixture_.WorkTime = Milliseconds(700);
+    CallerRequest Write = Fixture_.makeWrite("k");
+    Write.Deadline = Fixture_.Now + Milliseconds(600);
+    const TaskId Task = Fixture_.submit(Write);
+    Fixture_.run(Milliseconds(100));
+    Fixture_.WorkTime = Milliseconds(1);
+    checkAnswer(Fixture_.await(Task), Outcome::NotRun,
+                ErrorCode::DeadlineExceeded);
+    Fixture_.run(Milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture_.primary()->countOf("k"));
+  }
+
+  void staysWithinItsShareOfConnections() {
+    for (int Count = 0; Count < 200; ++Count) {
+      Fixture_.submit(Fixture_.makeWrite("k" + std::to_string(Count)));
+      Fixture_.submit(Fixture_.makeStep(RequestStep::Begin, ""));
+    }
+    Fixture_.run(Milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Fixture_.MostConnections);
+  }
+
+  void cancelsAWaitingWrite() {
+    Fixture_.setCut("a", true);
+    Fixture_.run(Milliseconds(600));
+    const TaskId Task = Fixture_.submit(Fixture_.makeWrite("k"));
+    Fixture_.run(Milliseconds(20));
+    Fixture_.Host->cancel(Task, Fixture_.Now);
+    Fixture_.run(Milliseconds(5000));
+    CPPUNIT_ASSERT(Fixture_.Answers.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture_.primary()->countOf("k"));
+    CPPUNIT_ASSERT(Fixture_.Host->isIdle());
+  }
+
+  void finishesItsWorkWhenItDrains() {
+    Fixture_.WorkTime = Milliseconds(50);
+    const TaskId Running = Fixture_.submit(Fixture_.makeWrite("k1"));
+    Fixture_.run(Milliseconds(20));
+    Fixture_.Host->beginDrain(Fixture_.Now);
+    CPPUNIT_ASSERT(!Fixture_.Host->isIdle());
+    const TaskId Late = Fixture_.submit(Fixture_.makeWrite("k2"));
+    checkAnswer(Fixture_.await(Late), Outcome::NotRun, ErrorCode::NotReady);
+    checkAnswer(Fixture_.await(Running), Outcome::Run, ErrorCode::None);
+    CPPUNIT_ASSERT(Fixture_.Host->isIdle());
+  }
+
+  void keepsARemovedGroupUntilItsWorkEnds() {
+    Fixture_.WorkTime = Milliseconds(1500);
+    const TaskId Task = Fixture_.submit(Fixture_.makeWrite("k"));
+    Fixture_.run(Milliseconds(20));
+    Fixture_.Host->applyDeployment(Deployment(), Fixture_.Now);
+    checkAnswer(Fixture_.await(Task), Outcome::Run, ErrorCode::None);
+    Fixture_.run(Milliseconds(1100));
+    CPPUNIT_ASSERT(Fixture_.Host->tables().Groups.empty());
+    CPPUNIT_ASSERT(Fixture_.Host->tables().Databases.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineTest);
+
+} // namespace nutmegloom
--- a/tests/protocol/httpservertest.cpp
+++ b/tests/protocol/httpservertest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <future>
+#include <random>
 #include <thread>
 
 namespace nutmegloom {
@@ -112,6 +113,7 @@
   CPPUNIT_TEST(takesRequestInPieces);
   CPPUNIT_TEST(continuesOnExpectation);
   CPPUNIT_TEST(refusesMalformedInput);
+  CPPUNIT_TEST(survivesAlteredRequests);
   CPPUNIT_TEST(refusesLargeHeader);
   CPPUNIT_TEST(refusesLargeBody);
   CPPUNIT_TEST(refusesTruncatedRequest);
@@ -163,22 +165,55 @@
   /// read in different ways (request smuggling).
   void refusesMalformedInput() {
     RunningServer Server;
-    const std::string Post = "POST / HTTP/1.1\r\n";
-    const std::string Chunked = "Transfer-Encoding: chunked\r\n";
     for (const std::string &Input :
          {std::string("nonsense\r\n\r\n"),
           std::string("GET / HTTP/9.9\r\n\r\n"),
           std::string("GET / HTTP/1.1\r\nno colon\r\n\r\n"),
-          Post + "Content-Length: -1\r\n\r\n",
-          Post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
-          Post + "Content-Length: 5\r\n" + Chunked + "\r\n0\r\n\r\n",
-          Post + Chunked + "\r\nzz\r\n"}) {
+          std::string("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+                      "Content-Length: 2\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                      "\r\nzz\r\n")}) {
       Client Caller(Server);
       Caller.send(Input);
       checkProblem(Caller.readToEnd(), "400", "bad_request");
     }
   }
 
+  /// Guards against input that ends the process or leaves a connection open,
+  /// over many small alterations of a valid request.
+  void survivesAlteredRequests() {
+    RunningServer Server;
+    constexpr unsigned Seed = 20261;
+    std::mt19937 Random(Seed);
+    const std::string Valid =
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "Expect: 100-continue\r\n\r\n5;a=b\r\nhello\r\n0\r\nT: v\r\n\r\n";
+    for (int Round = 0; Round < 500; ++Round) {
+      std::string Input = Valid;
+      for (unsigned Change = Random() % 4 + 1; Change > 0; --Change) {
+        std::size_t At = Random() % Input.size();
+        if (Random() % 2)
+          Input[At] = static_cast<char>(Random());
+        else
+          Input.insert(At, Input.substr(Random() % Input.size(), 3));
+      }
+      Client Caller(Server);
+      Caller.send(Input);
+      Caller.Socket.shutdown(tcp::socket::shutdown_send);
+      std::string Response = Caller.readToEnd();
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ", round " +
+                                 std::to_string(Round) + ": " + Input,
+                             Response.empty() ||
+                                 Response.starts_with("HTTP/1.1 "));
+    }
+    Client Caller(Server);
+    Caller.send("GET /after HTTP/1.1\r\nHost: h\r\n\r\n");
+    Caller.readTo("/after  ");
+  }
+
   /// Guards against memory that grows with the header.
   void refusesLargeHeader() {
     RunningServer Server({.HeaderBytes = 512});
