--- a/tests/core/failoverdatabase.cpp
+++ b/tests/core/controlleddatabase.cpp
@@ -1,10 +1,10 @@
-#include "failoverdatabase.h"
+#include "controlleddatabase.h"
 
 #include <algorithm>
 
 namespace nutmegloom {
 
-DatabaseStatus FailoverDatabase::status(TimePoint Now) const {
+DatabaseStatus ControlledDatabase::status(TimePoint Now) const {
   DatabaseStatus Status;
   Status.Database = Id;
   Status.Term = Promised;
@@ -20,7 +20,7 @@
   return Status;
 }
 
-bool FailoverDatabase::execute(const ControlRequest &Request) {
+bool ControlledDatabase::execute(const ControlRequest &Request) {
   switch (Request.Command) {
   case ControlCommand::Fence:
     if (Request.Term == Promised && Request.Promoter == Promoter)
@@ -53,11 +53,12 @@
   return false;
 }
 
-bool FailoverDatabase::holds(const Position &Entry) const {
+bool ControlledDatabase::holds(const Position &Entry) const {
   return Entry.Index <= Log.size() && Log[Entry.Index - 1] == Entry.Term;
 }
 
-void FailoverDatabase::pullFrom(const FailoverDatabase &Source, TimePoint Now) {
+void ControlledDatabase::pullFrom(const ControlledDatabase &Source,
+                                  TimePoint Now) {
   if (!Up || !Source.Up || Role != DatabaseRole::Replica ||
       Primary != Source.Id || Source.Role != DatabaseRole::Primary ||
       Source.Promised != Promised)
--- a/tests/core/failoverdatabase.h
+++ b/tests/core/controlleddatabase.h
@@ -1,5 +1,5 @@
-#ifndef NUTMEGLOOM_TESTS_CORE_FAILOVERDATABASE_H
-#define NUTMEGLOOM_TESTS_CORE_FAILOVERDATABASE_H
+#ifndef NUTMEGLOOM_TESTS_CORE_CONTROLLEDDATABASE_H
+#define NUTMEGLOOM_TESTS_CORE_CONTROLLEDDATABASE_H
 
 #include "core/messages.h"
 
@@ -9,7 +9,7 @@
 
 /// A database with the control commands of the design. Promised term, promoter
 /// and log survive a restart.
-struct FailoverDatabase {
+struct ControlledDatabase {
   DatabaseId Id;
   bool Up = true;
   bool Leaving = false;
@@ -27,9 +27,9 @@
   bool holds(const Position &Entry) const;
   /// One exchange of a replica with its primary: drops what the primary does
   /// not have, then takes one entry.
-  void pullFrom(const FailoverDatabase &Source, TimePoint Now);
+  void pullFrom(const ControlledDatabase &Source, TimePoint Now);
 };
 
 } // namespace nutmegloom
 
-#endif // NUTMEGLOOM_TESTS_CORE_FAILOVERDATABASE_H
+#endif // NUTMEGLOOM_TESTS_CORE_CONTROLLEDDATABASE_H
--- a/tests/core/failovertest.cpp
+++ b/tests/core/failovertest.cpp
@@ -1,7 +1,7 @@
 #include "core/failover.h"
+#include "controlleddatabase.h"
 #include "core/ownership.h"
 #include "core/termcheck.h"
-#include "failoverdatabase.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -59,7 +59,7 @@
   void answerPoll(Host &From, std::size_t Index, std::uint64_t After,
                   TimePoint SentAt, TimePoint Until, std::uint64_t Term);
   void control(Host &From, const ControlRequest &Request);
-  void onPromoted(const FailoverDatabase &Primary);
+  void onPromoted(const ControlledDatabase &Primary);
   void writeAtPrimaries();
   void deliver();
   void step();
@@ -69,14 +69,14 @@
   TimePoint Now_ = TimePoint(std::chrono::hours(1));
   Policy Limits_;
   std::uint64_t Random_ = 1;
-  std::vector<FailoverDatabase> Databases_;
+  std::vector<ControlledDatabase> Databases_;
   std::vector<std::unique_ptr<Host>> Hosts_;
   std::vector<Message> Messages_;
   std::set<std::size_t> CutReplication_;
   unsigned ToLose_ = 0;
   unsigned ToDelay_ = 0;
   /// Log of each term's primary when it was promoted.
-  std::map<std::uint64_t, FailoverDatabase> Promoted_;
+  std::map<std::uint64_t, ControlledDatabase> Promoted_;
   std::set<Position> Written_;
   /// Confirmed entries and the term that they were confirmed under.
   std::map<Position, std::uint64_t> Confirmed_;
@@ -84,7 +84,7 @@
 
 World::World(std::size_t Members) {
   for (std::size_t Index = 0; Index < Members; ++Index) {
-    FailoverDatabase Database;
+    ControlledDatabase Database;
     Database.Id = "salas-db-0-" + std::to_string(Index);
     Database.Primary = "salas-db-0-0";
     Database.Log = {1};
@@ -103,7 +103,7 @@
   GroupEntity Entity;
   Entity.Id = Group;
   Entity.Active = true;
-  for (const FailoverDatabase &Database : Databases_) {
+  for (const ControlledDatabase &Database : Databases_) {
     DatabaseEntity &Member = Self.Data.Databases[Database.Id];
     Member.Id = Member.ControlAddress = Database.Id;
     Member.Group = Group;
@@ -164,7 +164,7 @@
 
 void World::answerPoll(Host &From, std::size_t Index, std::uint64_t After,
                        TimePoint SentAt, TimePoint Until, std::uint64_t Term) {
-  const FailoverDatabase &Database = Databases_[Index];
+  const ControlledDatabase &Database = Databases_[Index];
   if (!Database.Up)
     return;
   if (Database.Log.size() <= After && Database.Promised == Term &&
@@ -183,7 +183,7 @@
 void World::control(Host &From, const ControlRequest &Request) {
   const std::size_t Index = indexOf(Request.Database);
   send(From, Index, nullptr, [this, &From, Request, Index, SentAt = Now_] {
-    FailoverDatabase &Database = Databases_[Index];
+    ControlledDatabase &Database = Databases_[Index];
     if (!Database.Up)
       return;
     const bool WasPrimary = Database.Role == DatabaseRole::Primary;
@@ -201,7 +201,7 @@
   });
 }
 
-void World::onPromoted(const FailoverDatabase &Primary) {
+void World::onPromoted(const ControlledDatabase &Primary) {
   RC_ASSERT(!Promoted_.contains(Primary.Promised));
   Promoted_[Primary.Promised] = Primary;
   for (const auto &[Entry, Term] : Confirmed_)
@@ -234,7 +234,7 @@
 }
 
 void World::writeAtPrimaries() {
-  for (FailoverDatabase &Database : Databases_)
+  for (ControlledDatabase &Database : Databases_)
     if (Database.Up && Database.Role == DatabaseRole::Primary) {
       Database.Log.push_back(Database.Promised);
       Written_.insert({Database.Promised, Database.Log.size()});
@@ -257,7 +257,7 @@
 void World::step() {
   Now_ += Step;
   deliver();
-  for (FailoverDatabase &Database : Databases_)
+  for (ControlledDatabase &Database : Databases_)
     if (const std::size_t Index = indexOf(Database.Id),
         Source = indexOf(Database.Primary);
         !CutReplication_.contains(Index) && !CutReplication_.contains(Source))
@@ -357,11 +357,11 @@
       Promoted_.empty() ? 1 : Promoted_.rbegin()->first;
   writeAtPrimaries();
   Position Entry;
-  for (const FailoverDatabase &Database : Databases_)
+  for (const ControlledDatabase &Database : Databases_)
     if (Database.Role == DatabaseRole::Primary && Database.Promised == Newest)
       Entry = {Newest, Database.Log.size()};
   run(Milliseconds(1000));
-  for (const FailoverDatabase &Database : Databases_)
+  for (const ControlledDatabase &Database : Databases_)
     if (Database.Up && (Entry.Term == 0 || !Database.holds(Entry)))
       return false;
   return Confirmed_.contains(Entry);
