Bound the pulls of the replicated log's tests

A trial with a wrong truncation made the test loop forever instead of failing. A truncated log continues the primary's, so a second conflict is a failure.

--- a/tests/standindatabase/replicatedlogtest.cpp
+++ b/tests/standindatabase/replicatedlogtest.cpp
@@ -47,7 +47,8 @@
   }
 
   static void pull(ReplicatedLog &Replica, const ReplicatedLog &Primary) {
-    for (;;) {
+    // One conflict at most: a truncated log continues the primary's.
+    for (int Attempt = 0; Attempt < 2; ++Attempt) {
       const PullReply Reply = Primary.serve(
           {Replica.term(), {Replica.logTerm(), Replica.received()}}, 100);
       if (!Reply.Conflict) {
@@ -57,6 +58,7 @@
       }
       Replica.truncateToCommon(Reply.Terms, Reply.Last);
     }
+    CPPUNIT_FAIL("the primary refuses the truncated log");
   }
 
   void promoteSecond() {
