--- a/packages/core/concurrencylimit.cpp
+++ b/packages/core/concurrencylimit.cpp
@@ -13,7 +13,7 @@
 /// times was larger than the gain of one more statement.
 static constexpr std::uint32_t EnoughSamples = 400;
 /// Throughput gain per added statement below which more is no use.
-static constexpr double UsefulGain = 1.05;
+static constexpr double UsefulGain = 1.08;
 /// Statements at the limit between two trials of a neighbouring one.
 static constexpr std::uint32_t TrialInterval = 400;
 /// Levels for each slot. A statement holds its place here for the round trip
