Tell a lost connection and a closed key by codes of their own

Cause: a write whose connection was lost and whose key was closed was reported as no_primary although the primary was healthy, and a closed key as idempotency_key_reused although the work was the same. Both outcomes, not_run, were right; the codes misled.

Change: connection_lost (503) and idempotency_key_closed (409). A scenario that repeats a write after not_run takes a new key.

--- a/packages/core/ownerparts.cpp
+++ b/packages/core/ownerparts.cpp
@@ -52,7 +52,9 @@
   // A later try needs a new key, so no time for one is given with a cause that
   // lies in the key itself.
   const Milliseconds RetryAfter =
-      Cause == ErrorCode::NoPrimary ? NoPrimaryRetryAfter : Milliseconds(0);
+      Cause == ErrorCode::NoPrimary || Cause == ErrorCode::ConnectionLost
+          ? NoPrimaryRetryAfter
+          : Milliseconds(0);
   return makeError(Outcome::NotRun, Cause,
                    "the write was not executed and its idempotency key is "
                    "closed; send it again with a new key",
--- a/packages/core/ownersystem.cpp
+++ b/packages/core/ownersystem.cpp
@@ -144,7 +144,7 @@
   Target.Sequence = ++LastSequence_;
   setTimer(Target, Request.Deadline);
   if (Request.Step == RequestStep::Settle)
-    settle(Target, ErrorCode::NoPrimary);
+    settle(Target, ErrorCode::ConnectionLost);
   else
     place(Target, Now);
 }
@@ -485,7 +485,7 @@
   // has to be confirmed here as well before it is reported.
   const bool Refused = Failure.Kind == DatabaseFailureKind::KeyClosed;
   Target.MayHaveRun |= !Refused;
-  settle(Target, Refused ? ErrorCode::KeyReused : ErrorCode::NoPrimary);
+  settle(Target, Refused ? ErrorCode::KeyClosed : ErrorCode::ConnectionLost);
 }
 
 void OwnerSystem::confirm(Task &Target, std::optional<Position> Wanted,
--- a/packages/core/types.cpp
+++ b/packages/core/types.cpp
@@ -38,7 +38,7 @@
     {Outcome::Unknown, "unknown"},
 }};
 
-constexpr std::array<Named<ErrorCode>, 15> ErrorCodes{{
+constexpr std::array<Named<ErrorCode>, 17> ErrorCodes{{
     {ErrorCode::None, "none"},
     {ErrorCode::BadRequest, "bad_request"},
     {ErrorCode::TooLarge, "too_large"},
@@ -47,8 +47,10 @@
     {ErrorCode::DeadlineExceeded, "deadline_exceeded"},
     {ErrorCode::Overloaded, "overloaded"},
     {ErrorCode::NoPrimary, "no_primary"},
+    {ErrorCode::ConnectionLost, "connection_lost"},
     {ErrorCode::WriteLost, "write_lost"},
     {ErrorCode::KeyReused, "idempotency_key_reused"},
+    {ErrorCode::KeyClosed, "idempotency_key_closed"},
     {ErrorCode::StatementFailed, "statement_failed"},
     {ErrorCode::TransactionLost, "transaction_lost"},
     {ErrorCode::NotReady, "not_ready"},
@@ -116,6 +118,7 @@
   case ErrorCode::NotFound:
     return 404;
   case ErrorCode::WriteLost:
+  case ErrorCode::KeyClosed:
     return 409;
   case ErrorCode::KeyReused:
   case ErrorCode::StatementFailed:
@@ -124,6 +127,7 @@
     return 410;
   case ErrorCode::Overloaded:
   case ErrorCode::NoPrimary:
+  case ErrorCode::ConnectionLost:
   case ErrorCode::NotReady:
     return 503;
   case ErrorCode::DeadlineExceeded:
--- a/packages/protocol/problemdetails.cpp
+++ b/packages/protocol/problemdetails.cpp
@@ -22,10 +22,14 @@
     return "The service is overloaded";
   case ErrorCode::NoPrimary:
     return "The group has no primary";
+  case ErrorCode::ConnectionLost:
+    return "The connection to the database or the owner was lost";
   case ErrorCode::WriteLost:
     return "A write of this session was lost in a failover";
   case ErrorCode::KeyReused:
     return "The idempotency key belongs to another request";
+  case ErrorCode::KeyClosed:
+    return "The idempotency key is closed";
   case ErrorCode::StatementFailed:
     return "The database refused the statement";
   case ErrorCode::TransactionLost:
--- a/testing/scenario/scenario.lua
+++ b/testing/scenario/scenario.lua
@@ -506,6 +506,10 @@
   local fields = {}
   return wait_until("a write succeeds", function()
     local answer = write(host, session, statement, fields)
+    if answer.outcome == "not_run" then
+      -- The key may have been closed, so the next try has another one.
+      fields = {}
+    end
     return answer.outcome == "run" and answer or nil
   end)
 end
@@ -534,6 +538,18 @@
   return best, best_term
 end
 
+-- A primary of the group other than the old one, which is not asked, with a
+-- term above the given one; or nil.
+function promoted_instead_of(old, group, term)
+  for number = 1, #deployment.options.zones do
+    local name = "d" .. group .. "-" .. number
+    local found = name ~= old and database_status(name)
+    if found and found.role == "primary" and found.term > term then
+      return name
+    end
+  end
+end
+
 -- Histories ---------------------------------------------------------------
 
 function start_history(options)
