Settle writes in flight as soon as their primary is replaced

Cause: a write that was under way when the primary was cut off or froze was given up only after connection_silence (2 s), although the new primary was in office after 1.46 s. The next write of the same caller waited with it.

Ruled out: slower detection of a cut than of a kill. The promotion came at the same time in both; only the answer to the write in flight was late.

Change: a write at a database that is no longer the primary is lost as soon as a read would be. settlesAWriteInFlightOnceThePrimaryIsReplaced failed first.

--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -240,6 +240,15 @@
     Pool_.provide(Database, Target.WantConnection.size(), Now);
 }
 
+bool Dispatcher::isReplaced(const DatabaseId &Database) const {
+  const auto Found = Data_.Databases.find(Database);
+  if (Found == Data_.Databases.end())
+    return true;
+  const auto Group = Data_.Groups.find(Found->second.Group);
+  return Group != Data_.Groups.end() && Group->second.Primary &&
+         *Group->second.Primary != Database;
+}
+
 bool Dispatcher::isLost(const Exchange &Candidate, TimePoint Now) {
   const Duration Age = Now - Candidate.SentAt;
   if (Age < ProgressCheckAge)
@@ -248,9 +257,10 @@
       memberOf(Candidate.Database).Queue.serviceTimeOf(Candidate.Options.Shape);
   const Milliseconds CheckAge = std::max(ProgressCheckAge, 2 * Service);
   // A read is simply sent again. Giving up a write costs a settlement, so it
-  // gets the whole time of silence.
+  // gets the whole time of silence, unless a replaced primary can't answer it
+  // in a useful way any more.
   const Milliseconds LostAge =
-      Candidate.Options.Harmless
+      Candidate.Options.Harmless || isReplaced(Candidate.Database)
           ? CheckAge
           : std::max(CheckAge, Limits_.ConnectionSilence);
   if (Age < LostAge)
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -103,6 +103,8 @@
   void endExchange(ConnectionId Connection, const ExchangeResult &Result,
                    bool Executed, bool Closed, TimePoint Now);
   void freeSlot(WorkId Work, bool Executed, TimePoint Now);
+  /// True when another database is the primary of its group.
+  bool isReplaced(const DatabaseId &Database) const;
   bool isLost(const Exchange &Candidate, TimePoint Now);
   void giveUpLost(TimePoint Now);
 
--- a/tests/core/enginetest.cpp
+++ b/tests/core/enginetest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(confirmsACloseBeforeItIsReported);
   CPPUNIT_TEST(reportsReuseOfAKey);
   CPPUNIT_TEST(settlesAtTheNewPrimary);
+  CPPUNIT_TEST(settlesAWriteInFlightOnceThePrimaryIsReplaced);
   CPPUNIT_TEST(givesUpAnUnresponsiveConnection);
   CPPUNIT_TEST(waitsForAStragglerThatTheDatabaseLists);
   CPPUNIT_TEST(dropsAnAnswerOfAnotherExchange);
@@ -251,6 +252,21 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t(0), Each.countOf("k"));
   }
 
+  // Guards against a write that waits for the end of the silence of a primary
+  // that was replaced long before.
+  void settlesAWriteInFlightOnceThePrimaryIsReplaced() {
+    Fixture_.RequestDelay = Milliseconds(10000);
+    const TaskId Task = Fixture_.submit(Fixture_.makeWrite("k"));
+    Fixture_.run(Milliseconds(50));
+    Fixture_.RequestDelay = Milliseconds(0);
+    Fixture_.setCut("a", true);
+    Fixture_.run(Milliseconds(1800));
+    CPPUNIT_ASSERT(Fixture_.primary()->Id != "a");
+    CPPUNIT_ASSERT(Fixture_.Answers.contains(Task));
+    checkAnswer(Fixture_.await(Task), Outcome::NotRun,
+                ErrorCode::ConnectionLost);
+  }
+
   // Guards against requests that wait for an open connection that is no longer
   // served while new ones work.
   void givesUpAnUnresponsiveConnection() {
