--- a/bench/failover.lua
+++ b/bench/failover.lua
@@ -53,6 +53,8 @@
           loop.last = now
         else
           loop.errors = (loop.errors or 0) + 1
+          loop.last_error = (answer.code or result.failure or "?") .. "/" ..
+            (answer.outcome or "?")
         end
       end
     end
@@ -116,5 +118,6 @@
 for kind, loop in pairs(loops) do
   report[kind .. "_gap_ms"] = loop.gap
   report[kind .. "_errors"] = loop.errors or 0
+  report[kind .. "_last_error"] = loop.last_error
 end
 print("report " .. runner.encode(report))
