Merge the two copies of a heartbeat into the host table

Found on reading the whole change again: onHeartbeat and updateSelf copied the same eight fields of a heartbeat into a host. One function does it now. Also drops an unused variable and a wrong comment of the policy benchmark and renames a time in the random faults.

--- a/bench/policy/nutmegloomsystem.cpp
+++ b/bench/policy/nutmegloomsystem.cpp
@@ -154,7 +154,7 @@
       Answer.Seen)
     Sessions_.acknowledge(Entry.Item, Answer.Seen->Index);
   if (Entry.Result.Answered && Entry.Item.Kind == StatementKind::Read) {
-    // The body is the applied index, and the start of the work in a slot.
+    // The body is the index that the read saw.
     std::uint64_t Applied = 0;
     const char *End = Answer.Body.data() + Answer.Body.size();
     const auto Parsed = std::from_chars(Answer.Body.data(), End, Applied);
@@ -167,7 +167,6 @@
 
 void NutmegloomSystem::send(ConnectionId Connection,
                             const DatabaseRequest &Request) {
-  const Address Target = Connections_.at(Connection);
   Events_.after(Service_.latency(),
                 [this, Connection, Request] { execute(Connection, Request); });
 }
--- a/packages/core/membership.cpp
+++ b/packages/core/membership.cpp
@@ -55,10 +55,7 @@
   onStoreHeard(Now);
 }
 
-void MembershipSystem::onHeartbeat(const PeerHeartbeat &Beat, TimePoint Now) {
-  if (Beat.Host.empty() || Beat.Host == Self_.Host)
-    return;
-  HostEntity &Host = entityOf(Beat.Host, Now);
+static void update(HostEntity &Host, const PeerHeartbeat &Beat, TimePoint Now) {
   Host.Region = Beat.Region;
   Host.Zone = Beat.Zone;
   Host.PeerAddress = Beat.PeerAddress;
@@ -67,6 +64,12 @@
   Host.LastHeard = Now;
   Host.Suspected = false;
   Host.ConfigurationVersion = Beat.ConfigurationVersion;
+}
+
+void MembershipSystem::onHeartbeat(const PeerHeartbeat &Beat, TimePoint Now) {
+  if (Beat.Host.empty() || Beat.Host == Self_.Host)
+    return;
+  update(entityOf(Beat.Host, Now), Beat, Now);
   for (const PeerSummary &Summary : Beat.Known)
     learn(Summary, Now);
 }
@@ -122,15 +125,7 @@
 void MembershipSystem::onStoreHeard(TimePoint Now) { StoreHeard_ = Now; }
 
 void MembershipSystem::updateSelf(TimePoint Now) {
-  HostEntity &Host = entityOf(Self_.Host, Now);
-  Host.Region = Self_.Region;
-  Host.Zone = Self_.Zone;
-  Host.PeerAddress = Self_.PeerAddress;
-  Host.Incarnation = Self_.Incarnation;
-  Host.State = Self_.State;
-  Host.LastHeard = Now;
-  Host.Suspected = false;
-  Host.ConfigurationVersion = Self_.ConfigurationVersion;
+  update(entityOf(Self_.Host, Now), Self_, Now);
 }
 
 void MembershipSystem::suspectSilentHosts(TimePoint Now) {
--- a/tests/histories/random_faults.lua
+++ b/tests/histories/random_faults.lua
@@ -56,9 +56,9 @@
   {name = "pause a host past the validity of its term checks", run = function()
     local host = any_host()
     pause(host)
-    local others_heard = runner.now_ms()
+    local paused_at = runner.now_ms()
     wait_until("the host was paused for a while", function()
-      return runner.now_ms() - others_heard > 1500
+      return runner.now_ms() - paused_at > 1500
     end)
     continue(host)
   end},
