Hold one promotion duty for all groups

Tokens are compared over all groups. Ruled out: two hosts in one group (each claim waits for the one before).

Change: one object of the store names the holder of the duty and its token; the token grows when the holder changes, a holder may promote for 3 s after it wrote the duty, and another takes it after 3.5 s without a change.

Conclusion: tokens are global; the duty is too.

--- a/packages/protocol/hostobservation.capnp
+++ b/packages/protocol/hostobservation.capnp
@@ -16,6 +16,10 @@
   echoIncarnation @7 :UInt64;
   echoSentAt @8 :UInt64;
   groups @9 :List(Group);
+  dutyHolder @10 :Text;
+  dutyIncarnation @11 :UInt64;
+  dutyToken @12 :UInt64;
+  dutyRevision @13 :UInt64;
 
   struct Group {
     group @0 :Text;
--- a/packages/protocol/hostobservation.capnp.h
+++ b/packages/protocol/hostobservation.capnp.h
@@ -34,7 +34,7 @@
   struct Group;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 10, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -98,6 +98,15 @@
   inline bool hasGroups() const;
   inline  ::capnp::List< ::nutmegloom::wire::HostObservation::Group,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
 
+  inline bool hasDutyHolder() const;
+  inline  ::capnp::Text::Reader getDutyHolder() const;
+
+  inline  ::uint64_t getDutyIncarnation() const;
+
+  inline  ::uint64_t getDutyToken() const;
+
+  inline  ::uint64_t getDutyRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -168,6 +177,22 @@
   inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::HostObservation::Group,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::HostObservation::Group,  ::capnp::Kind::STRUCT>> disownGroups();
 
+  inline bool hasDutyHolder();
+  inline  ::capnp::Text::Builder getDutyHolder();
+  inline void setDutyHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDutyHolder(unsigned int size);
+  inline void adoptDutyHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDutyHolder();
+
+  inline  ::uint64_t getDutyIncarnation();
+  inline void setDutyIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getDutyToken();
+  inline void setDutyToken( ::uint64_t value);
+
+  inline  ::uint64_t getDutyRevision();
+  inline void setDutyRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -537,6 +562,82 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool HostObservation::Reader::hasDutyHolder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostObservation::Builder::hasDutyHolder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostObservation::Reader::getDutyHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostObservation::Builder::getDutyHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void HostObservation::Builder::setDutyHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostObservation::Builder::initDutyHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void HostObservation::Builder::adoptDutyHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostObservation::Builder::disownDutyHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HostObservation::Reader::getDutyIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostObservation::Builder::getDutyIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void HostObservation::Builder::setDutyIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HostObservation::Reader::getDutyToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostObservation::Builder::getDutyToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void HostObservation::Builder::setDutyToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HostObservation::Reader::getDutyRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostObservation::Builder::getDutyRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void HostObservation::Builder::setDutyRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostObservation::Group::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/hostobservationcodec.cpp
+++ b/packages/protocol/hostobservationcodec.cpp
@@ -72,6 +72,10 @@
   Message.SentAt = From.getSentAt();
   Message.EchoIncarnation = From.getEchoIncarnation();
   Message.EchoSentAt = From.getEchoSentAt();
+  Message.Duty.Holder = From.getDutyHolder().cStr();
+  Message.Duty.Incarnation = From.getDutyIncarnation();
+  Message.Duty.Token = From.getDutyToken();
+  Message.Duty.Revision = From.getDutyRevision();
   for (auto Group : From.getGroups())
     Message.Groups.push_back(decodeGroup(Group));
   return Message;
@@ -91,6 +95,10 @@
   To.setSentAt(Message.SentAt);
   To.setEchoIncarnation(Message.EchoIncarnation);
   To.setEchoSentAt(Message.EchoSentAt);
+  To.setDutyHolder(Message.Duty.Holder);
+  To.setDutyIncarnation(Message.Duty.Incarnation);
+  To.setDutyToken(Message.Duty.Token);
+  To.setDutyRevision(Message.Duty.Revision);
   auto Groups = To.initGroups(static_cast<unsigned>(Message.Groups.size()));
   for (unsigned At = 0; At < Groups.size(); ++At)
     encodeGroup(Groups[At], Message.Groups[At]);
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -19,11 +19,17 @@
 constexpr Milliseconds RankDelay{400};
 constexpr Milliseconds CompareTimeout{300};
 constexpr Milliseconds AskInterval{80};
-/// A promotion may be asked for this long after its claim was sent; it is
-/// shorter than ClaimTimeout, so two holders never ask at the same time.
-constexpr Milliseconds ClaimValidity{3000};
-/// A claim of another host that makes no progress may be replaced.
+/// The holder of the duty may ask for promotions this long after it began to
+/// write the duty; it is shorter than ClaimTimeout, so two holders never ask at
+/// the same time.
+constexpr Milliseconds DutyValidity{3000};
+/// A duty or a claim of another host that shows no change may be taken over.
 constexpr Milliseconds ClaimTimeout{3500};
+/// Left of the duty's validity when a promotion is begun.
+constexpr Milliseconds DutyReserve{1800};
+constexpr Milliseconds DutyRequestTimeout{1000};
+/// Name by which hosts are ranked for the duty.
+constexpr std::string_view DutyKey = "promotions";
 constexpr Milliseconds CallRetryInterval{150};
 constexpr Milliseconds WriteTimeout{1500};
 /// Wait for the next leader to receive the last commits of one that drains.
@@ -78,16 +84,66 @@
   Work.StageSince = Now;
   Work.AskedAt.reset();
   Functions_.Report(
-      {Group, Stage, Work.Reason, Work.Next, Work.Token, Detail});
+      {Group, Stage, Work.Reason, Work.Next, Duty_.Token, Detail});
 }
 
-std::size_t PromotionSystem::rankOf(const GroupId &Group,
-                                    TimePoint Now) const {
-  std::vector<HostName> Ranked = rankHosts(Group, Hosts_.liveHosts(Now));
+std::size_t PromotionSystem::rank(TimePoint Now) const {
+  std::vector<HostName> Ranked = rankHosts(DutyKey, Hosts_.liveHosts(Now));
   auto Found = std::find(Ranked.begin(), Ranked.end(), Hosts_.self());
   return static_cast<std::size_t>(Found - Ranked.begin());
 }
 
+void PromotionSystem::onDuty(const PromotionDuty &Shown, TimePoint Now) {
+  if (Shown.Revision <= Duty_.Revision)
+    return;
+  Duty_ = Shown;
+  DutySeenAt_ = Now;
+}
+
+bool PromotionSystem::holdsDuty(Duration Remaining, TimePoint Now) const {
+  return DutyWrittenAt_ && Duty_.Holder == Hosts_.self() &&
+         Duty_.Incarnation == Hosts_.incarnation() &&
+         Now + Remaining <= *DutyWrittenAt_ + DutyValidity;
+}
+
+bool PromotionSystem::mayTakeDuty(TimePoint Now) const {
+  bool Own = Duty_.Holder == Hosts_.self() &&
+             Duty_.Incarnation == Hosts_.incarnation();
+  return Duty_.Revision == 0 || Own || Now - DutySeenAt_ >= ClaimTimeout;
+}
+
+void PromotionSystem::requestDuty(TimePoint Now) {
+  if (DutyRequestedAt_ && Now - *DutyRequestedAt_ < DutyRequestTimeout)
+    return;
+  if (!mayTakeDuty(Now))
+    return;
+  PromotionDuty Next;
+  Next.Holder = Hosts_.self();
+  Next.Incarnation = Hosts_.incarnation();
+  bool Renews = Duty_.Holder == Next.Holder &&
+                Duty_.Incarnation == Next.Incarnation;
+  Next.Token = Duty_.Token + (Renews ? 0 : 1);
+  DutyRequestedAt_ = Now;
+  Functions_.WriteDuty(Next, Duty_.Revision);
+}
+
+void PromotionSystem::onDutyWritten(WriteOutcome Outcome,
+                                    const PromotionDuty &Current,
+                                    TimePoint Now) {
+  if (!DutyRequestedAt_)
+    return;
+  TimePoint SentAt = *DutyRequestedAt_;
+  DutyRequestedAt_.reset();
+  if (Outcome != WriteOutcome::Written) {
+    // The next list of records shows whose it is.
+    DutyWrittenAt_.reset();
+    return;
+  }
+  onDuty(Current, Now);
+  if (Duty_.Revision == Current.Revision)
+    DutyWrittenAt_ = SentAt;
+}
+
 void PromotionSystem::tick(TimePoint Now) {
   for (const GroupId &Group : Table_.groups()) {
     Effort &Work = Efforts_[Group];
@@ -132,7 +188,7 @@
   std::optional<TimePoint> Confirmed = Authority_.confirmedAt(Group);
   if (!Confirmed || Now - *Confirmed > LeadershipValidity)
     return;
-  Milliseconds RankWait = RankDelay * rankOf(Group, Now);
+  Milliseconds RankWait = RankDelay * rank(Now);
   if (Record->Phase == LeadershipPhase::Promoting) {
     if (Now - Work.SeenAt < ClaimTimeout + RankWait)
       return;
@@ -164,7 +220,7 @@
     return;
   if (!Work.SuspectedAt)
     Work.SuspectedAt = Now;
-  if (Now - *Work.SuspectedAt < RankDelay * rankOf(Group, Now))
+  if (Now - *Work.SuspectedAt < RankDelay * rank(Now))
     return;
   Work.Reason = PromotionReason::None;
   Work.Next = Primary->Listing.Id;
@@ -324,6 +380,12 @@
       enter(Group, Work, PromotionStage::Watching, Now, "no candidate");
     return;
   }
+  if (!holdsDuty(DutyReserve, Now)) {
+    requestDuty(Now);
+    if (Now - Work.StageSince > ClaimTimeout)
+      enter(Group, Work, PromotionStage::Watching, Now, "no duty");
+    return;
+  }
   Work.Next = *Best;
   claim(Group, Work, Now);
 }
@@ -337,7 +399,6 @@
   Claim.Term = Record ? Record->Term + 1 : 1;
   Claim.Phase = LeadershipPhase::Promoting;
   Claim.Holder = Hosts_.self();
-  Work.ClaimSentAt = Now;
   enter(Group, Work, PromotionStage::Claiming, Now);
   Functions_.Write(Claim, Record ? Record->Revision : 0);
 }
@@ -361,7 +422,7 @@
     enter(Group, Work, PromotionStage::Watching, Now, "settled");
     return;
   }
-  Work.Token = Current.Revision;
+  Work.Claim = Current.Revision;
   Work.ClaimedAt = Now;
   enter(Group, Work, PromotionStage::Waiting, Now);
 }
@@ -394,12 +455,17 @@
 
 void PromotionSystem::promote(const GroupId &Group, Effort &Work,
                               TimePoint Now) {
-  if (Now - Work.ClaimSentAt > ClaimValidity) {
-    enter(Group, Work, PromotionStage::Watching, Now, "the claim is too old");
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (!Record || Record->Revision != Work.Claim || !mayTakeDuty(Now)) {
+    enter(Group, Work, PromotionStage::Watching, Now, "taken by another host");
+    return;
+  }
+  if (!holdsDuty(Milliseconds{0}, Now)) {
+    requestDuty(Now);
     return;
   }
   enter(Group, Work, PromotionStage::Promoting, Now);
-  Functions_.Promote(Group, Work.Next, Work.Token);
+  Functions_.Promote(Group, Work.Next, Duty_.Token);
 }
 
 void PromotionSystem::onPromoted(const GroupId &Group,
@@ -446,7 +512,7 @@
 void PromotionSystem::settle(const GroupId &Group, Effort &Work,
                              TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
-  if (!Record || Record->Revision != Work.Token) {
+  if (!Record || Record->Revision != Work.Claim) {
     enter(Group, Work, PromotionStage::Watching, Now, "claimed by another");
     return;
   }
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -50,19 +50,20 @@
 /// Finds leaders that fail, drain or are gone, and has another database
 /// promoted.
 ///
-/// A promotion goes through the group's record in the store. Writing it on
-/// condition gives the right to promote and a fencing token, and ends every
-/// host's permission to use the old leader one validity later. Only then is
-/// the platform asked. A host that stops half-way is followed by another one,
-/// which claims the record anew.
+/// One host at a time holds the duty to promote, with a fencing token. A
+/// promotion goes through the group's record in the store: writing it on
+/// condition ends every host's permission to use the old leader one validity
+/// later, and only then is the platform asked. A host that stops half-way is
+/// followed by another one, which takes the duty and claims the record anew.
 class PromotionSystem {
 public:
   struct Hooks {
     /// Replaces the record if its revision in the store is still Expected
     /// (zero: there is none). Ends in onWritten.
     std::function<void(const LeadershipRecord &, std::uint64_t Expected)> Write;
-    /// Reads the record again. Ends in onRecord.
-    std::function<void(const GroupId &)> Read;
+    /// Replaces the duty if its revision in the store is still Expected (zero:
+    /// there is none). Ends in onDutyWritten.
+    std::function<void(const PromotionDuty &, std::uint64_t Expected)> WriteDuty;
     /// Ends in onPromoted.
     std::function<void(const GroupId &, const DatabaseId &,
                        std::uint64_t Token)>
@@ -85,6 +86,15 @@
     SynchronousReplicas_[Group] = Count;
   }
 
+  /// The store, or a host that read it, shows the duty.
+  void onDuty(const PromotionDuty &Shown, TimePoint Now);
+  const PromotionDuty &duty() const { return Duty_; }
+  /// Conflict or no answer: Current has no revision.
+  void onDutyWritten(WriteOutcome Outcome, const PromotionDuty &Current,
+                     TimePoint Now);
+  /// True when this host is the first that would promote.
+  bool isFirst(TimePoint Now) const { return rank(Now) == 0; }
+
   void onWritten(const GroupId &Group, WriteOutcome Outcome,
                  const LeadershipRecord &Current, TimePoint Now);
   void onPromoted(const GroupId &Group, PromotionOutcome Outcome,
@@ -115,8 +125,8 @@
     TimePoint SeenAt;
     DatabaseId OldLeader;
     DatabaseId Next;
-    std::uint64_t Token = 0;
-    TimePoint ClaimSentAt;
+    /// Revision of this host's claim.
+    std::uint64_t Claim = 0;
     TimePoint ClaimedAt;
     std::optional<TimePoint> AskedAt;
     std::map<DatabaseId, Candidate> Reports;
@@ -129,7 +139,11 @@
                                   const LeadershipRecord &Record,
                                   TimePoint Now) const;
   bool isUnreachable(const DatabaseView &Leader, TimePoint Now) const;
-  std::size_t rankOf(const GroupId &Group, TimePoint Now) const;
+  std::size_t rank(TimePoint Now) const;
+  /// True when the duty is this host's for at least Remaining from now.
+  bool holdsDuty(Duration Remaining, TimePoint Now) const;
+  bool mayTakeDuty(TimePoint Now) const;
+  void requestDuty(TimePoint Now);
   void beginComparing(const GroupId &Group, Effort &Work,
                       PromotionReason Reason, TimePoint Now);
   void compare(const GroupId &Group, Effort &Work, TimePoint Now);
@@ -155,6 +169,12 @@
   std::optional<TimePoint> ListTrustedSince_;
   std::map<GroupId, std::uint32_t> SynchronousReplicas_;
   std::map<GroupId, Effort> Efforts_;
+  PromotionDuty Duty_;
+  /// When the duty's revision was first seen.
+  TimePoint DutySeenAt_;
+  /// Start of this host's latest write of the duty that succeeded.
+  std::optional<TimePoint> DutyWrittenAt_;
+  std::optional<TimePoint> DutyRequestedAt_;
 };
 
 } // namespace nutmegloom
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -136,6 +136,7 @@
       std::chrono::duration_cast<std::chrono::microseconds>(
           Now.time_since_epoch())
           .count());
+  Message.Duty = Promotions_.duty();
   auto Known = Hosts_.peers().find(Peer);
   if (Known != Hosts_.peers().end()) {
     Message.EchoIncarnation = Known->second.Incarnation;
@@ -162,6 +163,7 @@
 void SessionEngine::onObservation(const HostObservation &Message,
                                   TimePoint Now) {
   std::optional<TimePoint> SentAfter = Hosts_.onMessage(Message, Now);
+  Promotions_.onDuty(Message.Duty, Now);
   Runner_.pool().setHosts(Hosts_.connectionHolders(Now));
   if (!SentAfter)
     return;
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -27,6 +27,7 @@
   SessionProxy &sessions() { return Proxy_; }
   StatementRunner &runner() { return Runner_; }
   PromotionSystem &promotions() { return Promotions_; }
+  const PromotionSystem &promotions() const { return Promotions_; }
   HostTable &hosts() { return Hosts_; }
   const HostTable &hosts() const { return Hosts_; }
   const DatabaseTable &databases() const { return Table_; }
--- a/packages/sessions/sessiontypes.h
+++ b/packages/sessions/sessiontypes.h
@@ -199,8 +199,19 @@
   LeadershipPhase Phase = LeadershipPhase::Settled;
   /// Host that wrote the record.
   HostName Holder;
-  /// Version of the record in the store; zero: there is none. It grows with
-  /// each write, so it also serves as the fencing token of a promotion.
+  /// Version of the record in the store; zero: there is none.
+  std::uint64_t Revision = 0;
+};
+
+/// Which host may have databases promoted. It is kept in the platform's store
+/// and replaced on condition only.
+struct PromotionDuty {
+  HostName Holder;
+  /// Start of the holder's process, so that a restarted host takes it anew.
+  std::uint64_t Incarnation = 0;
+  /// Fencing token; it grows whenever the holder changes.
+  std::uint64_t Token = 0;
+  /// Version of the object in the store; zero: there is none.
   std::uint64_t Revision = 0;
 };
 
