Confirm leaderships by the databases and skip the wait that all hosts agree to

After a primary's loss each promotion waited one validity although all hosts already went by the claim. Statements that could not be served waited for their whole time. Ruled out: lost datagrams (the cut hosts heard each other).

Change: while nobody confirms a leadership, hosts ask the databases of the group; a promoter that can't reach every host pauses the next leader first. A promoter goes on at once when every listed host goes by its claim. Statements whose wait is known to be too long are refused at once. Hosts that don't reach the store are left out of the order of promoters.

--- a/packages/protocol/hostobservation.capnp
+++ b/packages/protocol/hostobservation.capnp
@@ -20,6 +20,7 @@
   dutyIncarnation @11 :UInt64;
   dutyToken @12 :UInt64;
   dutyRevision @13 :UInt64;
+  reachesStore @14 :Bool = true;
 
   struct Group {
     group @0 :Text;
--- a/packages/protocol/hostobservation.capnp.h
+++ b/packages/protocol/hostobservation.capnp.h
@@ -107,6 +107,8 @@
 
   inline  ::uint64_t getDutyRevision() const;
 
+  inline bool getReachesStore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -193,6 +195,9 @@
   inline  ::uint64_t getDutyRevision();
   inline void setDutyRevision( ::uint64_t value);
 
+  inline bool getReachesStore();
+  inline void setReachesStore(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -638,6 +643,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HostObservation::Reader::getReachesStore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, true);
+}
+
+inline bool HostObservation::Builder::getReachesStore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, true);
+}
+inline void HostObservation::Builder::setReachesStore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value, true);
+}
+
 inline bool HostObservation::Group::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/hostobservationcodec.cpp
+++ b/packages/protocol/hostobservationcodec.cpp
@@ -67,6 +67,7 @@
   Message.Incarnation = From.getIncarnation();
   Message.Address = From.getAddress().cStr();
   Message.Leaving = From.getLeaving();
+  Message.ReachesStore = From.getReachesStore();
   Message.ConfigurationVersion = From.getConfigurationVersion();
   Message.DatabaseListRevision = From.getDatabaseListRevision();
   Message.SentAt = From.getSentAt();
@@ -90,6 +91,7 @@
   To.setIncarnation(Message.Incarnation);
   To.setAddress(Message.Address);
   To.setLeaving(Message.Leaving);
+  To.setReachesStore(Message.ReachesStore);
   To.setConfigurationVersion(Message.ConfigurationVersion);
   To.setDatabaseListRevision(Message.DatabaseListRevision);
   To.setSentAt(Message.SentAt);
@@ -111,9 +113,8 @@
 std::variant<HostObservation, ObservationError>
 decodeObservation(std::string_view Bytes) {
   try {
-    kj::ArrayInputStream Input(
-        kj::arrayPtr(reinterpret_cast<const kj::byte *>(Bytes.data()),
-                     Bytes.size()));
+    kj::ArrayInputStream Input(kj::arrayPtr(
+        reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()));
     capnp::ReaderOptions Options;
     Options.traversalLimitInWords = TraversalLimitWords;
     capnp::PackedMessageReader Reader(Input, Options);
--- a/packages/sessions/databasepool.cpp
+++ b/packages/sessions/databasepool.cpp
@@ -201,7 +201,8 @@
   for (const auto &[Id, Held] : Connections_) {
     bool Late = Held.State == Use::Opening && Now - Held.Since > OpenTimeout;
     const DatabaseView *View = Table_.find(Held.Database);
-    bool Leaving = Held.State == Use::Idle && (!View || View->Listing.Draining) &&
+    bool Leaving = Held.State == Use::Idle &&
+                   (!View || View->Listing.Draining) &&
                    Now - Held.Since > DrainingIdleTimeout;
     auto [Count, Inserted] =
         Remaining.try_emplace(Held.Database, countOf(Held.Database));
--- a/packages/sessions/databasepool.h
+++ b/packages/sessions/databasepool.h
@@ -96,7 +96,6 @@
     TimePoint OverloadedUntil;
   };
 
-
   const DatabaseTable &Table_;
   Hooks Functions_;
   std::size_t LiveHosts_ = 1;
--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -13,15 +13,34 @@
 
 } // namespace
 
-void HostTable::addListed(const HostName &Host, const std::string &Address,
-                          TimePoint Now) {
-  (void)Now;
-  if (Host == Self_)
-    return;
-  Peers_[Host].Address = Address;
+void HostTable::applyListed(const std::map<HostName, std::string> &Addresses,
+                            TimePoint BegunAt) {
+  Listed_.clear();
+  ListedAt_ = BegunAt;
+  for (const auto &[Host, Address] : Addresses) {
+    if (Host == Self_)
+      continue;
+    Listed_.push_back(Host);
+    Peers_[Host].Address = Address;
+  }
+  std::erase_if(Peers_, [&](const auto &Entry) {
+    return !Addresses.contains(Entry.first) && !Entry.second.HeardAt;
+  });
 }
 
-void HostTable::removeListed(const HostName &Host) { Peers_.erase(Host); }
+bool HostTable::allFollow(const GroupId &Group, std::uint64_t Revision,
+                          TimePoint Since) const {
+  if (!ListedAt_ || *ListedAt_ < Since)
+    return false;
+  return std::all_of(Listed_.begin(), Listed_.end(), [&](const auto &Host) {
+    auto Known = Peers_.find(Host);
+    if (Known == Peers_.end())
+      return false;
+    auto Followed = Known->second.RecordRevisions.find(Group);
+    return Followed != Known->second.RecordRevisions.end() &&
+           Followed->second >= Revision;
+  });
+}
 
 std::optional<TimePoint> HostTable::onMessage(const HostObservation &Message,
                                               TimePoint Now) {
@@ -31,11 +50,16 @@
   bool SameProcess = Sender.Incarnation == Message.Incarnation;
   if (SameProcess && Message.SentAt <= Sender.SentAt)
     return std::nullopt;
+  if (!SameProcess)
+    Sender.RecordRevisions.clear();
   Sender.Address = Message.Address;
   Sender.Incarnation = Message.Incarnation;
   Sender.SentAt = Message.SentAt;
   Sender.HeardAt = Now;
   Sender.Leaving = Message.Leaving;
+  Sender.ReachesStore = Message.ReachesStore;
+  for (const GroupObservation &Group : Message.Groups)
+    Sender.RecordRevisions[Group.Record.Group] = Group.Record.Revision;
   Sender.ConfigurationVersion = Message.ConfigurationVersion;
   Sender.DatabaseListRevision = Message.DatabaseListRevision;
   if (Message.EchoIncarnation != Incarnation_)
@@ -69,6 +93,15 @@
   return Live;
 }
 
+std::vector<HostName> HostTable::storeHosts(TimePoint Now) const {
+  std::vector<HostName> Live = liveHosts(Now);
+  std::erase_if(Live, [&](const HostName &Name) {
+    auto Known = Peers_.find(Name);
+    return Known != Peers_.end() && !Known->second.ReachesStore;
+  });
+  return Live;
+}
+
 std::size_t HostTable::connectionHolders(TimePoint Now) const {
   return 1 + static_cast<std::size_t>(std::count_if(
                  Peers_.begin(), Peers_.end(), [&](const auto &Entry) {
@@ -77,8 +110,8 @@
                  }));
 }
 
-std::optional<TimePoint>
-HostTable::answeredToOthers(const DatabaseId &Database, TimePoint Now) const {
+std::optional<TimePoint> HostTable::answeredToOthers(const DatabaseId &Database,
+                                                     TimePoint Now) const {
   std::optional<TimePoint> Latest;
   for (const auto &[Name, Known] : Peers_) {
     auto Found = Known.LeaderAnswered.find(Database);
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -25,6 +25,8 @@
   std::uint64_t Incarnation = 0;
   std::string Address;
   bool Leaving = false;
+  /// The sender's latest call to the store was answered.
+  bool ReachesStore = true;
   std::uint64_t ConfigurationVersion = 0;
   std::uint64_t DatabaseListRevision = 0;
   /// Sender's own clock when it sent this, microseconds.
@@ -50,16 +52,24 @@
     std::uint64_t SentAt = 0;
     std::optional<TimePoint> HeardAt;
     bool Leaving = false;
+    bool ReachesStore = true;
+    /// Revisions of the leadership records that the peer goes by.
+    std::map<GroupId, std::uint64_t> RecordRevisions;
     std::uint64_t ConfigurationVersion = 0;
     std::uint64_t DatabaseListRevision = 0;
     /// Latest answer of each leader to this peer.
     std::map<DatabaseId, TimePoint> LeaderAnswered;
   };
 
-  /// The platform lists the host at the address.
-  void addListed(const HostName &Host, const std::string &Address,
-                 TimePoint Now);
-  void removeListed(const HostName &Host);
+  /// The platform lists exactly these hosts, by a read that began at BegunAt.
+  void applyListed(const std::map<HostName, std::string> &Addresses,
+                   TimePoint BegunAt);
+  /// True when every host that could go by an older record is known to go by
+  /// the given revision or a later one. The hosts must have been listed after
+  /// Since, when the revision was already written: a host reads records only
+  /// once it is listed.
+  bool allFollow(const GroupId &Group, std::uint64_t Revision,
+                 TimePoint Since) const;
 
   /// A message was received. Returns the moment of this host's clock after
   /// which it was sent; nothing when no echo shows one.
@@ -70,6 +80,8 @@
   bool isLive(const HostName &Host, TimePoint Now) const;
   /// Hosts that are live, this one included, in the order of their names.
   std::vector<HostName> liveHosts(TimePoint Now) const;
+  /// Live hosts that reach the store, this one included.
+  std::vector<HostName> storeHosts(TimePoint Now) const;
   /// Hosts that may hold connections to databases: live or listed lately.
   std::size_t connectionHolders(TimePoint Now) const;
   /// Latest answer of the database to any live host but this one.
@@ -88,6 +100,8 @@
   HostName Self_;
   std::uint64_t Incarnation_;
   std::map<HostName, Peer> Peers_;
+  std::vector<HostName> Listed_;
+  std::optional<TimePoint> ListedAt_;
 };
 
 } // namespace nutmegloom
--- a/packages/sessions/leaderauthority.cpp
+++ b/packages/sessions/leaderauthority.cpp
@@ -25,8 +25,7 @@
   return Changed;
 }
 
-const LeadershipRecord *
-LeaderAuthority::recordOf(const GroupId &Group) const {
+const LeadershipRecord *LeaderAuthority::recordOf(const GroupId &Group) const {
   auto Found = Records_.find(Group);
   return Found == Records_.end() ? nullptr : &Found->second;
 }
--- /dev/null
+++ b/packages/sessions/leadershipcheck.cpp
@@ -0,0 +1,85 @@
+#include "sessions/leadershipcheck.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+namespace {
+
+/// Age of a leadership from which the databases are asked.
+constexpr Milliseconds CheckAge{600};
+/// Each host waits longer by this than the one before it by name, so that one
+/// asks and the others hear of it.
+constexpr Milliseconds OrderDelay{120};
+constexpr std::size_t MaximumOrder = 4;
+constexpr Milliseconds AskInterval{300};
+
+} // namespace
+
+LeadershipCheck::LeadershipCheck(const DatabaseTable &Table,
+                                 const HostTable &Hosts,
+                                 const LeaderAuthority &Authority, Ask Function)
+    : Table_(Table), Hosts_(Hosts), Authority_(Authority),
+      Ask_(std::move(Function)) {}
+
+void LeadershipCheck::tick(TimePoint Now) {
+  std::vector<HostName> Live = Hosts_.liveHosts(Now);
+  auto Self = std::find(Live.begin(), Live.end(), Hosts_.self());
+  auto Order = std::min<std::size_t>(
+      MaximumOrder, static_cast<std::size_t>(Self - Live.begin()));
+  DatabaseCommand Status;
+  Status.Verb = CommandVerb::Status;
+  for (const auto &[Group, Record] : Authority_.records()) {
+    std::optional<TimePoint> Confirmed = Authority_.confirmedAt(Group);
+    if (Record.Phase != LeadershipPhase::Settled || !Confirmed ||
+        Now - *Confirmed < CheckAge + OrderDelay * Order)
+      continue;
+    TimePoint &Asked = AskedAt_[Group];
+    if (Now - Asked < AskInterval)
+      continue;
+    Asked = Now;
+    for (const DatabaseView *View : Table_.membersOf(Group))
+      Ask_(View->Listing, Status);
+  }
+}
+
+std::optional<TimePoint> LeadershipCheck::onReport(const DatabaseId &Database,
+                                                   const DatabaseReport &Report,
+                                                   TimePoint BegunAt,
+                                                   TimePoint Now) {
+  Reports_[Database] = {Report, BegunAt};
+  const DatabaseView *View = Table_.find(Database);
+  if (!View)
+    return std::nullopt;
+  return confirmationOf(View->Listing.Group, Now);
+}
+
+std::optional<TimePoint> LeadershipCheck::confirmationOf(const GroupId &Group,
+                                                         TimePoint Now) const {
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (!Record || Record->Phase != LeadershipPhase::Settled)
+    return std::nullopt;
+  auto Leader = Reports_.find(Record->Leader);
+  if (Leader == Reports_.end() || !Table_.find(Record->Leader) ||
+      Leader->second.Report.Role != DatabaseRole::Primary ||
+      Leader->second.Report.Term < Record->Term)
+    return std::nullopt;
+  std::uint64_t Term = Leader->second.Report.Term;
+  TimePoint Earliest = Leader->second.BegunAt;
+  for (const DatabaseView *View : Table_.membersOf(Group)) {
+    auto Heard = Reports_.find(View->Listing.Id);
+    if (Heard == Reports_.end())
+      return std::nullopt;
+    const DatabaseReport &Report = Heard->second.Report;
+    bool IsLeader = View->Listing.Id == Record->Leader;
+    if (!IsLeader && (Report.Role != DatabaseRole::Replica ||
+                      Report.Term > Term || Report.PausedTerm > Term))
+      return std::nullopt;
+    Earliest = std::min(Earliest, Heard->second.BegunAt);
+  }
+  if (Now - Earliest > LeadershipValidity)
+    return std::nullopt;
+  return Earliest;
+}
+
+} // namespace nutmegloom
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -18,6 +18,10 @@
 /// Each host waits longer by this than the one ranked before it.
 constexpr Milliseconds RankDelay{400};
 constexpr Milliseconds CompareTimeout{300};
+/// Hosts that follow the claim within this time need not be waited out.
+constexpr Milliseconds FollowTimeout{200};
+/// After a database that was thought to be demoted reports that it leads.
+constexpr Milliseconds DemotionGrace{2000};
 constexpr Milliseconds AskInterval{80};
 /// The holder of the duty may ask for promotions this long after it began to
 /// write the duty; it is shorter than ClaimTimeout, so two holders never ask at
@@ -31,11 +35,14 @@
 /// Name by which hosts are ranked for the duty.
 constexpr std::string_view DutyKey = "promotions";
 constexpr Milliseconds CallRetryInterval{150};
+constexpr Milliseconds PauseTimeout{1500};
 constexpr Milliseconds WriteTimeout{1500};
 /// Wait for the next leader to receive the last commits of one that drains.
 constexpr Milliseconds CatchUpTimeout{1200};
 /// Typical time from the platform's acceptance to the new leader.
 constexpr Milliseconds PromotionTime{700};
+/// Typical time from a claim to the call, when all hosts follow.
+constexpr Milliseconds FollowTime{100};
 /// After it an accepted promotion that shows no effect is asked for again.
 constexpr Milliseconds VerifyTimeout{2000};
 /// A leadership that is not confirmed for lack of a store.
@@ -88,7 +95,7 @@
 }
 
 std::size_t PromotionSystem::rank(TimePoint Now) const {
-  std::vector<HostName> Ranked = rankHosts(DutyKey, Hosts_.liveHosts(Now));
+  std::vector<HostName> Ranked = rankHosts(DutyKey, Hosts_.storeHosts(Now));
   auto Found = std::find(Ranked.begin(), Ranked.end(), Hosts_.self());
   return static_cast<std::size_t>(Found - Ranked.begin());
 }
@@ -120,8 +127,8 @@
   PromotionDuty Next;
   Next.Holder = Hosts_.self();
   Next.Incarnation = Hosts_.incarnation();
-  bool Renews = Duty_.Holder == Next.Holder &&
-                Duty_.Incarnation == Next.Incarnation;
+  bool Renews =
+      Duty_.Holder == Next.Holder && Duty_.Incarnation == Next.Incarnation;
   Next.Token = Duty_.Token + (Renews ? 0 : 1);
   DutyRequestedAt_ = Now;
   Functions_.WriteDuty(Next, Duty_.Revision);
@@ -171,8 +178,7 @@
   }
 }
 
-void PromotionSystem::watch(const GroupId &Group, Effort &Work,
-                            TimePoint Now) {
+void PromotionSystem::watch(const GroupId &Group, Effort &Work, TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   if (!Record) {
     if (RecordsListed_)
@@ -203,6 +209,8 @@
   }
   if (!Work.SuspectedAt)
     Work.SuspectedAt = Now;
+  if (Reason == PromotionReason::Demoted)
+    RankWait += DemotionGrace;
   if (Now - *Work.SuspectedAt < RankWait)
     return;
   Work.OldLeader = Record->Leader;
@@ -250,10 +258,9 @@
   return Reached * 3 < (Live + 1) * 2 - 1 || Reached == 0;
 }
 
-PromotionReason
-PromotionSystem::reasonToReplace(const GroupId &Group,
-                                 const LeadershipRecord &Record,
-                                 TimePoint Now) const {
+PromotionReason PromotionSystem::reasonToReplace(const GroupId &Group,
+                                                 const LeadershipRecord &Record,
+                                                 TimePoint Now) const {
   const DatabaseView *Leader = Table_.find(Record.Leader);
   if (!Leader) {
     bool Trusted = ListTrustedSince_ && Now - *ListTrustedSince_ > MissingGrace;
@@ -263,7 +270,8 @@
     return PromotionReason::Draining;
   if (isUnreachable(*Leader, Now))
     return PromotionReason::Silent;
-  if (Leader->Listing.Role != DatabaseRole::Replica)
+  // Roles in a list that is no longer followed may be old.
+  if (Leader->Listing.Role != DatabaseRole::Replica || !ListTrustedSince_)
     return PromotionReason::None;
   for (const DatabaseView *View : Table_.membersOf(Group))
     if (View->Listing.Role == DatabaseRole::Primary)
@@ -327,8 +335,7 @@
 }
 
 std::optional<DatabaseId>
-PromotionSystem::bestCandidate(const GroupId &Group,
-                               const Effort &Work) const {
+PromotionSystem::bestCandidate(const GroupId &Group, const Effort &Work) const {
   std::optional<DatabaseId> Best;
   std::optional<DatabaseId> Leading;
   for (const DatabaseView *View : Table_.membersOf(Group)) {
@@ -362,6 +369,12 @@
   }
   // The old leader has answered after all.
   auto Old = Work.Reports.find(Work.OldLeader);
+  if (Work.Reason == PromotionReason::Demoted && Old != Work.Reports.end() &&
+      Old->second.Report.Role == DatabaseRole::Primary) {
+    Work.SuspectedAt = Now;
+    enter(Group, Work, PromotionStage::Watching, Now, "the leader leads");
+    return;
+  }
   if (Work.Reason == PromotionReason::Silent && Old != Work.Reports.end() &&
       Old->second.Report.Role == DatabaseRole::Primary &&
       Old->second.BegunAt >= Work.StageSince) {
@@ -390,8 +403,7 @@
   claim(Group, Work, Now);
 }
 
-void PromotionSystem::claim(const GroupId &Group, Effort &Work,
-                            TimePoint Now) {
+void PromotionSystem::claim(const GroupId &Group, Effort &Work, TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   LeadershipRecord Claim;
   Claim.Group = Group;
@@ -424,33 +436,88 @@
   }
   Work.Claim = Current.Revision;
   Work.ClaimedAt = Now;
+  Work.PausedAt.reset();
+  Work.FollowedAt.reset();
+  Work.Called = false;
+  Functions_.ListHosts();
   enter(Group, Work, PromotionStage::Waiting, Now);
 }
 
-/// True when the next leader has received what the draining one has written.
-bool PromotionSystem::isCaughtUp(const Effort &Work) const {
+/// True when the next leader has received what the draining one had written
+/// when no host used it any more.
+bool PromotionSystem::isCaughtUp(const Effort &Work, TimePoint Stopped) const {
   auto Old = Work.Reports.find(Work.OldLeader);
   auto Next = Work.Reports.find(Work.Next);
   if (Old == Work.Reports.end() || Next == Work.Reports.end())
     return false;
-  TimePoint Lapsed = Work.ClaimedAt + LeadershipValidity;
-  return Old->second.BegunAt >= Lapsed && Next->second.BegunAt >= Lapsed &&
+  return Old->second.BegunAt >= Stopped && Next->second.BegunAt >= Stopped &&
          Next->second.Report.Received >= Old->second.Report.Received;
 }
 
-/// Every host that knew the old record stops within one validity of the claim.
+void PromotionSystem::pauseNext(Effort &Work, TimePoint Now) {
+  if (Work.AskedAt && Now - *Work.AskedAt < AskInterval)
+    return;
+  Work.AskedAt = Now;
+  const DatabaseView *Next = Table_.find(Work.Next);
+  auto Known = Work.Reports.find(Work.Next);
+  if (!Next || Known == Work.Reports.end())
+    return;
+  DatabaseCommand Pause;
+  Pause.Verb = CommandVerb::Pause;
+  Pause.Term = Known->second.Report.Term + 1;
+  Functions_.Ask(Next->Listing, Pause);
+}
+
+/// A host may use the old leader until it goes by the claim, or until its last
+/// confirmation lapses. If all hosts go by the claim, nothing is waited for.
+/// Otherwise one validity passes, counted from the pause of the next leader as
+/// well: hosts without the store go by what the databases report.
 void PromotionSystem::waitForLapse(const GroupId &Group, Effort &Work,
                                    TimePoint Now) {
-  Duration Waited = Now - Work.ClaimedAt;
-  if (Waited < LeadershipValidity || Now - Work.StageSince < CallRetryInterval)
+  if (Now - Work.StageSince < CallRetryInterval && Work.Called)
     return;
+  bool Followed = Hosts_.allFollow(Group, Work.Claim, Work.ClaimedAt);
   bool Planned = Work.Reason == PromotionReason::Draining;
-  if (Planned && !isCaughtUp(Work) &&
-      Waited < LeadershipValidity + CatchUpTimeout) {
-    askAgain(Group, Work, AskInterval, Now);
+  if (Followed && !Work.PausedAt) {
+    if (!Work.FollowedAt)
+      Work.FollowedAt = Now;
+    if (Planned && !isCaughtUp(Work, *Work.FollowedAt) &&
+        Now - *Work.FollowedAt < CatchUpTimeout) {
+      askAgain(Group, Work, AskInterval / 2, Now);
+      return;
+    }
+    promote(Group, Work, Now);
     return;
   }
-  promote(Group, Work, Now);
+  if (Now - Work.ClaimedAt < FollowTimeout)
+    return;
+  auto Next = Work.Reports.find(Work.Next);
+  bool Paused = Next != Work.Reports.end() &&
+                Next->second.Report.PausedTerm > 0 &&
+                Next->second.BegunAt >= Work.ClaimedAt;
+  if (!Paused) {
+    pauseNext(Work, Now);
+    if (Now - Work.ClaimedAt > PauseTimeout)
+      beginComparing(Group, Work, Work.Reason, Now);
+    return;
+  }
+  if (!Work.PausedAt)
+    Work.PausedAt = Now;
+  if (Now - *Work.PausedAt >= LeadershipValidity)
+    promote(Group, Work, Now);
+}
+
+/// Takes back pauses of earlier attempts.
+void PromotionSystem::resumeOthers(const GroupId &Group, const Effort &Work) {
+  DatabaseCommand Resume;
+  Resume.Verb = CommandVerb::Resume;
+  for (const DatabaseView *View : Table_.membersOf(Group)) {
+    auto Known = Work.Reports.find(View->Listing.Id);
+    if (Known == Work.Reports.end() || View->Listing.Id == Work.Next ||
+        Known->second.Report.PausedTerm == 0)
+      continue;
+    Functions_.Ask(View->Listing, Resume);
+  }
 }
 
 void PromotionSystem::promote(const GroupId &Group, Effort &Work,
@@ -464,12 +531,13 @@
     requestDuty(Now);
     return;
   }
+  Work.Called = true;
   enter(Group, Work, PromotionStage::Promoting, Now);
   Functions_.Promote(Group, Work.Next, Duty_.Token);
 }
 
-void PromotionSystem::onPromoted(const GroupId &Group,
-                                 PromotionOutcome Outcome, TimePoint Now) {
+void PromotionSystem::onPromoted(const GroupId &Group, PromotionOutcome Outcome,
+                                 TimePoint Now) {
   Effort &Work = Efforts_[Group];
   if (Work.Stage != PromotionStage::Promoting)
     return;
@@ -520,6 +588,7 @@
   Settled.Phase = LeadershipPhase::Settled;
   Settled.Term = Work.LeadingTerm;
   Settled.Holder = Hosts_.self();
+  resumeOthers(Group, Work);
   enter(Group, Work, PromotionStage::Settling, Now);
   Functions_.Write(Settled, Record->Revision);
 }
@@ -535,7 +604,7 @@
     if (Found != Efforts_.end() &&
         Found->second.SeenRevision != Record->Revision)
       Since = Now;
-    TimePoint Expected = Since + LeadershipValidity + PromotionTime;
+    TimePoint Expected = Since + FollowTime + PromotionTime;
     return std::max(Milliseconds{100}, toMilliseconds(Expected - Now));
   }
   std::optional<TimePoint> Confirmed = Authority_.confirmedAt(Group);
@@ -543,7 +612,7 @@
     return UnconfirmedRetry;
   const DatabaseView *Leader = Table_.find(Record->Leader);
   if (!Leader || (Leader->FailingSince && Leader->Failures >= 2))
-    return SilenceLimit + LeadershipValidity + PromotionTime;
+    return SilenceLimit + FollowTime + PromotionTime;
   return std::nullopt;
 }
 
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -63,11 +63,14 @@
     std::function<void(const LeadershipRecord &, std::uint64_t Expected)> Write;
     /// Replaces the duty if its revision in the store is still Expected (zero:
     /// there is none). Ends in onDutyWritten.
-    std::function<void(const PromotionDuty &, std::uint64_t Expected)> WriteDuty;
+    std::function<void(const PromotionDuty &, std::uint64_t Expected)>
+        WriteDuty;
     /// Ends in onPromoted.
     std::function<void(const GroupId &, const DatabaseId &,
                        std::uint64_t Token)>
         Promote;
+    /// Reads the list of hosts again. Ends in the host table.
+    std::function<void()> ListHosts;
     /// Asks a database for its report. Ends in onReport.
     std::function<void(const DatabaseListing &, const DatabaseCommand &)> Ask;
     std::function<void(const PromotionReport &)> Report;
@@ -128,6 +131,12 @@
     /// Revision of this host's claim.
     std::uint64_t Claim = 0;
     TimePoint ClaimedAt;
+    /// When all hosts went by the claim.
+    std::optional<TimePoint> FollowedAt;
+    /// The platform was asked under this claim.
+    bool Called = false;
+    /// When the next leader reported that it is paused.
+    std::optional<TimePoint> PausedAt;
     std::optional<TimePoint> AskedAt;
     std::map<DatabaseId, Candidate> Reports;
     std::uint64_t LeadingTerm = 0;
@@ -152,7 +161,9 @@
   bool hasEnoughReports(const GroupId &Group, const Effort &Work) const;
   void claim(const GroupId &Group, Effort &Work, TimePoint Now);
   void waitForLapse(const GroupId &Group, Effort &Work, TimePoint Now);
-  bool isCaughtUp(const Effort &Work) const;
+  bool isCaughtUp(const Effort &Work, TimePoint Stopped) const;
+  void pauseNext(Effort &Work, TimePoint Now);
+  void resumeOthers(const GroupId &Group, const Effort &Work);
   void promote(const GroupId &Group, Effort &Work, TimePoint Now);
   void verify(const GroupId &Group, Effort &Work, TimePoint Now);
   void settle(const GroupId &Group, Effort &Work, TimePoint Now);
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -37,7 +37,8 @@
                  return Promotions_.leaderExpectedIn(Group, Now);
                }}),
       Proxy_(Runner_, Functions_.Sessions),
-      Promotions_(Table_, Hosts_, Authority_, Functions_.Promotions) {}
+      Promotions_(Table_, Hosts_, Authority_, Functions_.Promotions),
+      Check_(Table_, Hosts_, Authority_, Functions_.Promotions.Ask) {}
 
 void SessionEngine::applyConfiguration(SessionConfiguration Configuration,
                                        TimePoint Now) {
@@ -97,8 +98,7 @@
   Promotions_.onRecordsListed(Now);
 }
 
-void SessionEngine::onRecordWritten(const GroupId &Group,
-                                    WriteOutcome Outcome,
+void SessionEngine::onRecordWritten(const GroupId &Group, WriteOutcome Outcome,
                                     const LeadershipRecord &Current,
                                     TimePoint Now) {
   bool Changed = Authority_.recordOf(Group) == nullptr ||
@@ -110,6 +110,26 @@
   Runner_.onLeaderChanged(Group, Now);
 }
 
+void SessionEngine::onReport(const DatabaseId &Database,
+                             const std::optional<DatabaseReport> &Report,
+                             TimePoint BegunAt, TimePoint Now) {
+  Promotions_.onReport(Database, Report, BegunAt, Now);
+  if (!Report)
+    return;
+  std::optional<TimePoint> Moment =
+      Check_.onReport(Database, *Report, BegunAt, Now);
+  const DatabaseView *View = Table_.find(Database);
+  if (!Moment || !View)
+    return;
+  LeadershipRecord Record = *Authority_.recordOf(View->Listing.Group);
+  noteLeadership(Record, *Moment, Now);
+}
+
+void SessionEngine::applyHosts(const std::map<HostName, std::string> &Addresses,
+                               TimePoint BegunAt) {
+  Hosts_.applyListed(Addresses, BegunAt);
+}
+
 void SessionEngine::onProbed(const DatabaseId &Database, bool Answered,
                              TimePoint BegunAt, TimePoint Now) {
   if (Answered) {
@@ -118,9 +138,8 @@
   }
   std::map<DatabaseId, TimePoint> Unanswered = Runner_.unansweredSince();
   auto Found = Unanswered.find(Database);
-  Table_.onSilence(Database, Found == Unanswered.end() ? BegunAt
-                                                       : Found->second,
-                   Now);
+  Table_.onSilence(Database,
+                   Found == Unanswered.end() ? BegunAt : Found->second, Now);
 }
 
 HostObservation SessionEngine::observationFor(const HostName &Peer,
@@ -130,6 +149,7 @@
   Message.Incarnation = Hosts_.incarnation();
   Message.Address = Address_;
   Message.Leaving = Leaving_;
+  Message.ReachesStore = ReachesStore_;
   Message.ConfigurationVersion = Proxy_.configuration().Version;
   Message.DatabaseListRevision = ListRevision_;
   Message.SentAt = static_cast<std::uint64_t>(
@@ -205,6 +225,7 @@
   Runner_.tick(Now);
   Proxy_.tick(Now);
   Promotions_.tick(Now);
+  Check_.tick(Now);
 }
 
 } // namespace nutmegloom
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -1,6 +1,7 @@
 #ifndef NUTMEGLOOM_SESSIONS_SESSIONENGINE_H
 #define NUTMEGLOOM_SESSIONS_SESSIONENGINE_H
 
+#include "sessions/leadershipcheck.h"
 #include "sessions/promotionsystem.h"
 #include "sessions/sessionproxy.h"
 
@@ -45,6 +46,13 @@
   /// A conditional write of a record ended.
   void onRecordWritten(const GroupId &Group, WriteOutcome Outcome,
                        const LeadershipRecord &Current, TimePoint Now);
+  /// A database answered a question of the promotions, or it did not.
+  void onReport(const DatabaseId &Database,
+                const std::optional<DatabaseReport> &Report, TimePoint BegunAt,
+                TimePoint Now);
+  /// The store lists these hosts, by a read that began at BegunAt.
+  void applyHosts(const std::map<HostName, std::string> &Addresses,
+                  TimePoint BegunAt);
   void onProbed(const DatabaseId &Database, bool Answered, TimePoint BegunAt,
                 TimePoint Now);
 
@@ -52,6 +60,7 @@
   HostObservation observationFor(const HostName &Peer, TimePoint Now) const;
   void onObservation(const HostObservation &Message, TimePoint Now);
 
+  void setReachesStore(bool Reaches) { ReachesStore_ = Reaches; }
   void setLeaving() { Leaving_ = true; }
   bool isLeaving() const { return Leaving_; }
   std::uint64_t databaseListRevision() const { return ListRevision_; }
@@ -71,12 +80,14 @@
   StatementRunner Runner_;
   SessionProxy Proxy_;
   PromotionSystem Promotions_;
+  LeadershipCheck Check_;
   std::vector<DatabaseListing> Listed_;
   /// Databases that are missing from the list, and since when.
   std::map<DatabaseId, std::pair<DatabaseListing, TimePoint>> Missing_;
   std::map<DatabaseId, TimePoint> ProbedAt_;
   std::uint64_t ListRevision_ = 0;
   bool Leaving_ = false;
+  bool ReachesStore_ = true;
 };
 
 } // namespace nutmegloom
--- a/packages/sessions/sessionproxy.cpp
+++ b/packages/sessions/sessionproxy.cpp
@@ -168,11 +168,10 @@
   if (IsCommit && Held.State != SessionState::InTransaction) {
     bool Failed = Held.State == SessionState::Failed;
     endTransaction(Held);
-    answerLocally(Id, Held,
-                  Failed ? StatementCode::Aborted : StatementCode::Malformed,
-                  Failed ? "the transaction was rolled back"
-                         : "no transaction is open",
-                  Now);
+    answerLocally(
+        Id, Held, Failed ? StatementCode::Aborted : StatementCode::Malformed,
+        Failed ? "the transaction was rolled back" : "no transaction is open",
+        Now);
     return;
   }
   if (Held.State == SessionState::Idle) {
@@ -222,8 +221,7 @@
   }
   Work.Pinned = Held.Pinned;
   if (InTransaction && !Held.Pinned)
-    Work.Opens =
-        Held.ReadOnly ? CommandVerb::BeginRead : CommandVerb::Begin;
+    Work.Opens = Held.ReadOnly ? CommandVerb::BeginRead : CommandVerb::Begin;
   Work.EndsTransaction = IsCommit;
   Work.Priority = Held.Route.Priority;
   Work.ReceivedAt = Now;
@@ -240,11 +238,10 @@
   bool InTransaction = Held.State == SessionState::InTransaction;
   bool Done = Result.Answer.Code == StatementCode::Done;
   auto Prepared = Held.Prepared.find(Held.Current->Name);
-  const PreparedShape *Shape =
-      Held.Current->Verb == StatementVerb::Execute &&
-              Prepared != Held.Prepared.end()
-          ? &Prepared->second
-          : nullptr;
+  const PreparedShape *Shape = Held.Current->Verb == StatementVerb::Execute &&
+                                       Prepared != Held.Prepared.end()
+                                   ? &Prepared->second
+                                   : nullptr;
   bool Wrote = writesData(Held, Shape);
   bool IsCommit = Held.Current->Verb == StatementVerb::Commit;
   if (Result.OwnWriteLost)
@@ -284,8 +281,8 @@
                             const StatementResult &Result, TimePoint Now) {
   Answer.State = Held.State;
   if (Result.RetryAfter.count() > 0)
-    Answer.Detail += ", retry after " +
-                     std::to_string(Result.RetryAfter.count()) + " ms";
+    Answer.Detail +=
+        ", retry after " + std::to_string(Result.RetryAfter.count()) + " ms";
   StatementReport Report;
   Report.StatementId = Held.Current->Id;
   Report.Verb = Held.Current->Verb;
--- a/packages/sessions/sessiontypes.cpp
+++ b/packages/sessions/sessiontypes.cpp
@@ -11,13 +11,12 @@
     "set",   "prepare",    "execute", "deallocate", "unreadable"};
 
 constexpr std::array<std::string_view, 13> StatementCodeNames{
-    "done",           "busy",         "aborted",     "behind",
-    "read_only",      "wrong_database", "overloaded", "unknown_name",
-    "no_database",    "malformed",    "failed",      "timed_out",
-    "in_doubt"};
+    "done",           "busy",       "aborted",      "behind",      "read_only",
+    "wrong_database", "overloaded", "unknown_name", "no_database", "malformed",
+    "failed",         "timed_out",  "in_doubt"};
 
 constexpr std::array<std::string_view, 11> CommandVerbNames{
-    "forward", "begin", "begin_read", "rollback", "set",   "prepare",
+    "forward", "begin",  "begin_read", "rollback", "set",   "prepare",
     "reset",   "status", "step_down",  "pause",    "resume"};
 
 constexpr std::array<std::string_view, 3> ConsistencyModeNames{
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -49,13 +49,11 @@
 
 StatementRunner::StatementRunner(DatabaseTable &Table,
                                  LeaderAuthority &Authority,
-                                 DatabasePool::Hooks PoolHooks,
-                                 Hooks Functions)
+                                 DatabasePool::Hooks PoolHooks, Hooks Functions)
     : Table_(Table), Authority_(Authority), Pool_(Table, std::move(PoolHooks)),
       Functions_(std::move(Functions)) {}
 
-const PositionHistory *
-StatementRunner::historyOf(const GroupId &Group) const {
+const PositionHistory *StatementRunner::historyOf(const GroupId &Group) const {
   auto Found = Histories_.find(Group);
   return Found == Histories_.end() ? nullptr : &Found->second;
 }
@@ -73,22 +71,52 @@
   }
   if (tryStart(Task, Now))
     return;
-  if (Task.Work.NeedsLeader &&
-      !Authority_.leaderForSending(Task.Work.Group, Now)) {
-    std::optional<Milliseconds> Expected =
-        Functions_.LeaderExpectedIn(Task.Work.Group, Now);
-    if (Expected && Now + *Expected > Task.Work.Deadline) {
-      StatementResult Result;
-      Result.Answer = errorAnswer(StatementCode::Busy, "no primary");
-      Result.RetryAfter = *Expected;
-      finish(Session, std::move(Result), Now);
-      return;
-    }
+  if (std::optional<Milliseconds> Start = tooLateBy(Task, Now)) {
+    refuse(Task, *Start, Now);
+    return;
   }
   Queue_.add(Task.Work.Group, Session, Task.Work.Priority,
              Task.Work.ReceivedAt);
 }
 
+/// Time until the statements that wait ahead have been taken up, at the pace of
+/// the connections that this host holds.
+Milliseconds StatementRunner::expectedWait(const StatementWork &Work) const {
+  double Pace = 0;
+  for (const DatabaseView *View : std::as_const(Table_).membersOf(Work.Group)) {
+    double Connections = static_cast<double>(Pool_.countOf(View->Listing.Id));
+    Pace += Connections / std::max(1.0, View->ServiceMilliseconds);
+  }
+  double Ahead = static_cast<double>(Queue_.countOf(Work.Group));
+  if (Pace <= 0)
+    return Milliseconds{0};
+  return Milliseconds{static_cast<std::int64_t>(Ahead / Pace)};
+}
+
+std::optional<Milliseconds> StatementRunner::tooLateBy(const Progress &Task,
+                                                       TimePoint Now) const {
+  const StatementWork &Work = Task.Work;
+  Milliseconds Wait = expectedWait(Work);
+  if (placesFor(Task, Now).empty()) {
+    std::optional<Milliseconds> Leader =
+        Functions_.LeaderExpectedIn(Work.Group, Now);
+    if (Leader)
+      Wait = std::max(Wait, *Leader);
+  }
+  if (Now + Wait <= Work.Deadline)
+    return std::nullopt;
+  return Wait;
+}
+
+void StatementRunner::refuse(Progress &Task, Milliseconds RetryAfter,
+                             TimePoint Now) {
+  StatementResult Result;
+  Result.Answer = errorAnswer(StatementCode::Busy, "not run");
+  Result.RetryAfter = RetryAfter;
+  Result.Attempts = Task.Attempts;
+  finish(Task.Work.Session, std::move(Result), Now);
+}
+
 void StatementRunner::abandon(CallerSessionId Session,
                               std::optional<ConnectionId> Pinned,
                               TimePoint Now) {
@@ -155,8 +183,7 @@
   auto Found = Histories_.find(Group);
   if (Found == Histories_.end())
     return std::nullopt;
-  std::optional<Position> Floor =
-      Found->second.floorFor(Work.MaximumAge, Now);
+  std::optional<Position> Floor = Found->second.floorFor(Work.MaximumAge, Now);
   if (Floor && Work.OwnWrite)
     return std::max(*Floor, *Work.OwnWrite);
   return Floor;
@@ -181,8 +208,7 @@
   std::optional<Position> Floor = floorOf(Work, Work.Group, Now);
   if (!Floor)
     return Places;
-  for (const DatabaseView *View :
-       std::as_const(Table_).membersOf(Work.Group)) {
+  for (const DatabaseView *View : std::as_const(Table_).membersOf(Work.Group)) {
     bool Usable = !View->Listing.Draining && Now >= View->AvoidUntil &&
                   View->Listing.Id != Leader &&
                   !Task.Avoided.contains(View->Listing.Id);
@@ -430,8 +456,7 @@
   Result.Database = Task.Database;
   Result.Attempts = Task.Attempts;
   bool Commits = Work.Writes && (!InTransaction || Work.EndsTransaction);
-  if (Commits &&
-      !Authority_.mayAcknowledge(Work.Group, Task.Database, Now)) {
+  if (Commits && !Authority_.mayAcknowledge(Work.Group, Task.Database, Now)) {
     Result.Answer = errorAnswer(StatementCode::InDoubt,
                                 "the primary may have been replaced");
     freeConnection(Task, Answer.State, Now);
@@ -629,9 +654,16 @@
 
 void StatementRunner::tick(TimePoint Now) {
   std::vector<CallerSessionId> Late;
-  for (const auto &[Session, Task] : Works_)
+  std::vector<std::pair<CallerSessionId, Milliseconds>> Hopeless;
+  for (const auto &[Session, Task] : Works_) {
     if (Now >= Task.Work.Deadline)
       Late.push_back(Session);
+    else if (Task.At == Stage::Waiting)
+      if (std::optional<Milliseconds> Start = tooLateBy(Task, Now))
+        Hopeless.emplace_back(Session, *Start);
+  }
+  for (const auto &[Session, Start] : Hopeless)
+    refuse(Works_.at(Session), Start, Now);
   for (CallerSessionId Session : Late) {
     auto Task = Works_.find(Session);
     if (Task != Works_.end())
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -88,8 +88,7 @@
   void onOpenFailed(ConnectionId Connection, std::optional<StatementCode> Code,
                     bool Refused, TimePoint Now);
   void onClosed(ConnectionId Connection, TimePoint Now);
-  void onAnswer(ConnectionId Connection, StatementAnswer Answer,
-                TimePoint Now);
+  void onAnswer(ConnectionId Connection, StatementAnswer Answer, TimePoint Now);
 
   /// Takes up waiting statements: a leader, a database or a connection may
   /// have become available.
@@ -152,6 +151,11 @@
   std::optional<Position> floorOf(const StatementWork &Work,
                                   const GroupId &Group, TimePoint Now) const;
   double costOf(const Place &Where) const;
+  /// When the statement may start, if that is known to be too late for it.
+  std::optional<Milliseconds> tooLateBy(const Progress &Task,
+                                        TimePoint Now) const;
+  Milliseconds expectedWait(const StatementWork &Work) const;
+  void refuse(Progress &Task, Milliseconds RetryAfter, TimePoint Now);
 
   void onBegun(Progress &Task, const StatementAnswer &Answer, TimePoint Now);
   void onForwarded(Progress &Task, StatementAnswer Answer, TimePoint Now);
