--- /dev/null
+++ b/tests/sessions/databasepooltest.cpp
@@ -0,0 +1,123 @@
+#include "sessions/databasepool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace nutmegloom {
+
+class DatabasePoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DatabasePoolTest);
+  CPPUNIT_TEST(matchesTheValuesOfASession);
+  CPPUNIT_TEST(preparesAShapeOnceForAllSessions);
+  CPPUNIT_TEST(keepsNamesOfDifferentShapesApart);
+  CPPUNIT_TEST(staysWithinItsShare);
+  CPPUNIT_TEST(borrowsWhenWorkWaits);
+  CPPUNIT_TEST(closesBorrowedConnections);
+  CPPUNIT_TEST(pausesAfterAnOverload);
+  CPPUNIT_TEST_SUITE_END();
+
+  TimePoint Now_{std::chrono::hours(1)};
+  DatabaseTable Table_{[](const ZoneName &) { return Distance::SameZone; }};
+  std::vector<ConnectionId> Opened_;
+  std::vector<ConnectionId> Closed_;
+  DatabasePool Pool_{Table_,
+                     {[this](ConnectionId Id, const DatabaseListing &) {
+                        Opened_.push_back(Id);
+                      },
+                      [this](ConnectionId Id) { Closed_.push_back(Id); }}};
+
+  void addDatabase() {
+    DatabaseListing Listing;
+    Listing.Id = "a";
+    Listing.Group = "g";
+    Table_.apply({Listing});
+    Pool_.setCap("g", 34);
+    Pool_.setHosts(8);
+  }
+
+  /// Applies commands to a profile as a database would.
+  static void apply(ConnectionProfile &Profile,
+                    const std::vector<DatabaseCommand> &Commands) {
+    for (const DatabaseCommand &Command : Commands) {
+      if (Command.Verb == CommandVerb::Reset)
+        Profile = {};
+      if (Command.Verb == CommandVerb::SetValue)
+        Profile.Values[Command.Name] = Command.Text;
+      if (Command.Verb == CommandVerb::Prepare)
+        Profile.Prepared.insert(Command.Name);
+    }
+  }
+
+  // A statement must never run with another session's values.
+  void matchesTheValuesOfASession() {
+    bool Holds = rc::check("the connection has exactly the values", [] {
+      auto Names = rc::gen::map(rc::gen::inRange(0, 4),
+                                [](int N) { return "v" + std::to_string(N); });
+      auto Values = rc::gen::container<SessionValues>(Names, Names);
+      ConnectionProfile Profile;
+      Profile.Values = *Values;
+      Profile.Uncertain = *rc::gen::arbitrary<bool>();
+      SessionValues Wanted = *Values;
+      PreparedShape Shape{StatementKind::Read, "q1"};
+      apply(Profile, commandsToMatch(Profile, Wanted, &Shape));
+      RC_ASSERT(Profile.Values == Wanted);
+      RC_ASSERT(!Profile.Uncertain);
+      RC_ASSERT(Profile.Prepared.contains(sharedNameOf(Shape)));
+    });
+    CPPUNIT_ASSERT(Holds);
+  }
+
+  void preparesAShapeOnceForAllSessions() {
+    PreparedShape Shape{StatementKind::Write, "q1"};
+    ConnectionProfile Profile;
+    apply(Profile, commandsToMatch(Profile, {}, &Shape));
+    CPPUNIT_ASSERT(commandsToMatch(Profile, {}, &Shape).empty());
+  }
+
+  // A read and a write of the same shape are different statements.
+  void keepsNamesOfDifferentShapesApart() {
+    CPPUNIT_ASSERT(sharedNameOf({StatementKind::Read, "q1"}) !=
+                   sharedNameOf({StatementKind::Write, "q1"}));
+  }
+
+  std::size_t openAll(bool Urgent) {
+    while (Pool_.mayOpen("a", Urgent, Now_)) {
+      Pool_.open("a", Now_);
+      Pool_.onOpened(Opened_.back(), Now_);
+    }
+    return Pool_.countOf("a");
+  }
+
+  void staysWithinItsShare() {
+    addDatabase();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), openAll(false));
+    CPPUNIT_ASSERT(Pool_.countOf("a") * 8 <= 34);
+  }
+
+  void borrowsWhenWorkWaits() {
+    addDatabase();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), openAll(true));
+  }
+
+  void closesBorrowedConnections() {
+    addDatabase();
+    openAll(true);
+    Now_ += Milliseconds{600};
+    Pool_.tick(Now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Pool_.countOf("a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Closed_.size());
+  }
+
+  void pausesAfterAnOverload() {
+    addDatabase();
+    Pool_.open("a", Now_);
+    Pool_.onClosed(Opened_.back());
+    Pool_.onOverloaded("a", Now_);
+    CPPUNIT_ASSERT(!Pool_.mayOpen("a", true, Now_));
+    CPPUNIT_ASSERT(Pool_.mayOpen("a", false, Now_ + Milliseconds{301}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DatabasePoolTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/sessions/hosttabletest.cpp
@@ -0,0 +1,78 @@
+#include "sessions/hosttable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class HostTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HostTableTest);
+  CPPUNIT_TEST(datesAMessageByItsEcho);
+  CPPUNIT_TEST(ignoresAnEchoOfAnEarlierProcess);
+  CPPUNIT_TEST(waitsForEveryListedHost);
+  CPPUNIT_TEST(forgetsWhatARestartedHostFollowed);
+  CPPUNIT_TEST(needsAListOfHostsAfterTheClaim);
+  CPPUNIT_TEST_SUITE_END();
+
+  TimePoint Now_{std::chrono::hours(1)};
+  HostTable Table_{"self", 7};
+
+  HostObservation message(std::uint64_t Incarnation, std::uint64_t SentAt,
+                          std::uint64_t Revision) const {
+    HostObservation Message;
+    Message.Host = "peer";
+    Message.Incarnation = Incarnation;
+    Message.SentAt = SentAt;
+    Message.EchoIncarnation = 7;
+    Message.EchoSentAt = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            (Now_ - Milliseconds{80}).time_since_epoch())
+            .count());
+    GroupObservation Group;
+    Group.Record.Group = "g";
+    Group.Record.Revision = Revision;
+    Message.Groups.push_back(Group);
+    return Message;
+  }
+
+  // A datagram may be delayed: only the echo bounds its age.
+  void datesAMessageByItsEcho() {
+    CPPUNIT_ASSERT(Table_.onMessage(message(1, 1, 5), Now_) ==
+                   Now_ - Milliseconds{80});
+  }
+
+  // After a power loss the clock starts again, and old echoes would look new.
+  void ignoresAnEchoOfAnEarlierProcess() {
+    HostObservation Message = message(1, 1, 5);
+    Message.EchoIncarnation = 6;
+    CPPUNIT_ASSERT(!Table_.onMessage(Message, Now_));
+  }
+
+  void waitsForEveryListedHost() {
+    Table_.applyListed({{"self", "x"}, {"peer", "y"}, {"silent", "z"}}, Now_);
+    Table_.onMessage(message(1, 1, 5), Now_);
+    CPPUNIT_ASSERT(!Table_.allFollow("g", 5, Now_));
+    Table_.applyListed({{"self", "x"}, {"peer", "y"}}, Now_);
+    CPPUNIT_ASSERT(Table_.allFollow("g", 5, Now_));
+    CPPUNIT_ASSERT(!Table_.allFollow("g", 6, Now_));
+  }
+
+  void forgetsWhatARestartedHostFollowed() {
+    Table_.applyListed({{"peer", "y"}}, Now_);
+    Table_.onMessage(message(1, 9, 5), Now_);
+    HostObservation Restarted = message(2, 1, 5);
+    Restarted.Groups.clear();
+    Table_.onMessage(Restarted, Now_);
+    CPPUNIT_ASSERT(!Table_.allFollow("g", 5, Now_));
+  }
+
+  // A host that was listed later than the list may go by the old record.
+  void needsAListOfHostsAfterTheClaim() {
+    Table_.applyListed({{"peer", "y"}}, Now_);
+    Table_.onMessage(message(1, 1, 5), Now_);
+    CPPUNIT_ASSERT(!Table_.allFollow("g", 5, Now_ + Milliseconds{1}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostTableTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/sessions/leaderauthoritytest.cpp
@@ -0,0 +1,68 @@
+#include "sessions/leaderauthority.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class LeaderAuthorityTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeaderAuthorityTest);
+  CPPUNIT_TEST(lapsesWithoutConfirmation);
+  CPPUNIT_TEST(endsWithAClaim);
+  CPPUNIT_TEST(ignoresAnOlderRecord);
+  CPPUNIT_TEST(neverMovesAConfirmationBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  const TimePoint Start_{std::chrono::hours(1)};
+
+  static LeadershipRecord record(const DatabaseId &Leader,
+                                 std::uint64_t Revision,
+                                 LeadershipPhase Phase) {
+    LeadershipRecord Made;
+    Made.Group = "g";
+    Made.Leader = Leader;
+    Made.Revision = Revision;
+    Made.Phase = Phase;
+    return Made;
+  }
+
+  // A paused host must not use a primary that may have been replaced.
+  void lapsesWithoutConfirmation() {
+    LeaderAuthority Authority;
+    Authority.confirm(record("a", 1, LeadershipPhase::Settled), Start_);
+    CPPUNIT_ASSERT(Authority.leaderForSending("g", Start_) == "a");
+    TimePoint End = Start_ + LeadershipValidity;
+    CPPUNIT_ASSERT(Authority.mayAcknowledge("g", "a", End));
+    CPPUNIT_ASSERT(!Authority.leaderForSending("g", End));
+    CPPUNIT_ASSERT(!Authority.mayAcknowledge("g", "a", End + Milliseconds{1}));
+  }
+
+  void endsWithAClaim() {
+    LeaderAuthority Authority;
+    Authority.confirm(record("a", 1, LeadershipPhase::Settled), Start_);
+    Authority.confirm(record("b", 2, LeadershipPhase::Promoting), Start_);
+    CPPUNIT_ASSERT(!Authority.leaderForSending("g", Start_));
+    CPPUNIT_ASSERT(!Authority.mayAcknowledge("g", "a", Start_));
+    CPPUNIT_ASSERT(!Authority.mayAcknowledge("g", "b", Start_));
+  }
+
+  // A message of a host that has not heard of the claim yet.
+  void ignoresAnOlderRecord() {
+    LeaderAuthority Authority;
+    Authority.confirm(record("b", 2, LeadershipPhase::Promoting), Start_);
+    Authority.confirm(record("a", 1, LeadershipPhase::Settled),
+                      Start_ + Milliseconds{5});
+    CPPUNIT_ASSERT(!Authority.leaderForSending("g", Start_));
+  }
+
+  void neverMovesAConfirmationBack() {
+    LeaderAuthority Authority;
+    Authority.confirm(record("a", 1, LeadershipPhase::Settled), Start_);
+    Authority.confirm(record("a", 1, LeadershipPhase::Settled),
+                      Start_ - Milliseconds{500});
+    CPPUNIT_ASSERT(Authority.confirmedAt("g") == Start_);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaderAuthorityTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/sessions/randomfaultstest.cpp
@@ -0,0 +1,143 @@
+#include "tests/sessions/simulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+/// Series of overlapping faults from fixed seeds; every promise is checked
+/// against what the databases did.
+class RandomFaultsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RandomFaultsTest);
+  CPPUNIT_TEST(keepsAllPromises);
+  CPPUNIT_TEST(servesAgainOnceFaultsEnd);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint32_t FirstSeed = 1;
+  static constexpr std::uint32_t LastSeed = 60;
+  static constexpr std::size_t HostCount = 4;
+
+  using Random = std::mt19937;
+
+  static int pick(Random &From, int Least, int Greatest) {
+    return std::uniform_int_distribution<>(Least, Greatest)(From);
+  }
+
+  static DatabaseId pickDatabase(Random &From) {
+    return std::string(1, static_cast<char>('a' + pick(From, 0, 2)));
+  }
+
+  static void injectFault(Simulation &Sim, Random &From) {
+    auto Host = static_cast<std::size_t>(pick(From, 0, HostCount - 1));
+    auto Other = (Host + 1) % HostCount;
+    DatabaseId Id = pickDatabase(From);
+    DatabaseId Leader = Sim.leader();
+    Milliseconds Span{pick(From, 200, 4000)};
+    switch (pick(From, 0, 10)) {
+    case 0:
+      Sim.cutHostFromDatabase(Host, Leader, true);
+      Sim.after(Span, [&Sim, Host, Leader] {
+        Sim.cutHostFromDatabase(Host, Leader, false);
+      });
+      break;
+    case 1:
+      Sim.cutHostFromStore(Host, true);
+      Sim.after(Span, [&Sim, Host] { Sim.cutHostFromStore(Host, false); });
+      break;
+    case 2:
+      Sim.cutHosts(Host, Other, true);
+      Sim.after(Span,
+                [&Sim, Host, Other] { Sim.cutHosts(Host, Other, false); });
+      break;
+    case 3:
+      for (const char *Replica : {"a", "b", "c"})
+        if (Replica != Leader) {
+          Sim.cutReplication(Leader, Replica, true);
+          Sim.after(Span, [&Sim, Leader, Replica] {
+            Sim.cutReplication(Leader, Replica, false);
+          });
+        }
+      break;
+    case 4:
+      Sim.setStoreDown(true);
+      Sim.after(Span, [&Sim] { Sim.setStoreDown(false); });
+      break;
+    case 5:
+      Sim.setStoreDelay(Milliseconds{pick(From, 50, 350)});
+      Sim.after(Span, [&Sim] { Sim.setStoreDelay(Milliseconds{4}); });
+      break;
+    case 6:
+      Sim.pauseHost(Host, Span);
+      break;
+    case 7:
+      Sim.restartHost(Host);
+      break;
+    case 8:
+      Sim.crashDatabase(Id, Span);
+      break;
+    case 9:
+      Sim.setReplicationLag(Id, Milliseconds{pick(From, 100, 2000)});
+      Sim.after(Span,
+                [&Sim, Id] { Sim.setReplicationLag(Id, Milliseconds{8}); });
+      break;
+    case 10:
+      // The leader is alone with one host; the others see it as lost.
+      for (std::size_t Index = 0; Index < HostCount; ++Index)
+        if (Index != Host)
+          Sim.cutHostFromDatabase(Index, Leader, true);
+      Sim.setLostWrites(0.3);
+      Sim.after(Span, [&Sim, Leader] {
+        for (std::size_t Index = 0; Index < HostCount; ++Index)
+          Sim.cutHostFromDatabase(Index, Leader, false);
+        Sim.setLostWrites(0);
+      });
+      break;
+    }
+  }
+
+  static std::unique_ptr<Simulation> played(std::uint32_t Seed) {
+    auto Sim = std::make_unique<Simulation>(Seed, HostCount);
+    Random From(Seed * 7919);
+    Sim->run(Milliseconds{1500});
+    Sim->startCallers(3, Milliseconds{26000});
+    for (int Fault = 0; Fault < 24; ++Fault) {
+      injectFault(*Sim, From);
+      Sim->run(Milliseconds{pick(From, 50, 1200)});
+    }
+    Sim->run(Milliseconds{8000});
+    return Sim;
+  }
+
+  void keepsAllPromises() {
+    std::size_t Promotions = 0;
+    std::size_t Writes = 0;
+    for (std::uint32_t Seed = FirstSeed; Seed <= LastSeed; ++Seed) {
+      auto Sim = played(Seed);
+      std::vector<std::string> Broken = Sim->violations();
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ": " +
+                                 (Broken.empty() ? "" : Broken.front()),
+                             Broken.empty());
+      Promotions += Sim->promotions();
+      Writes += Sim->acknowledgedWrites();
+    }
+    // Without these the checks would prove nothing.
+    CPPUNIT_ASSERT(Promotions > LastSeed);
+    CPPUNIT_ASSERT(Writes > LastSeed * 1000);
+  }
+
+  void servesAgainOnceFaultsEnd() {
+    for (std::uint32_t Seed = FirstSeed; Seed <= 12; ++Seed) {
+      auto Sim = played(Seed);
+      for (std::size_t Host = 0; Host < HostCount; ++Host) {
+        CallerSessionId Id = Sim->open(Host, "primary");
+        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ", host " +
+                                   std::to_string(Host),
+                               Sim->ask(Host, Id, StatementVerb::Write).Code ==
+                                   StatementCode::Done);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RandomFaultsTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/sessions/sessionservicetest.cpp
@@ -0,0 +1,268 @@
+#include "tests/sessions/simulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+/// What one caller gets, without faults and with one fault at a time.
+class SessionServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SessionServiceTest);
+  CPPUNIT_TEST(servesReadsAndWrites);
+  CPPUNIT_TEST(readsItsOwnWriteWhileReplicasLag);
+  CPPUNIT_TEST(servesBoundedReadsByReplicas);
+  CPPUNIT_TEST(keepsATransactionOnItsConnection);
+  CPPUNIT_TEST(refusesStatementsAfterAFailure);
+  CPPUNIT_TEST(rollsBackWhenTheCallerLeaves);
+  CPPUNIT_TEST(endsAnIdleTransaction);
+  CPPUNIT_TEST(runsEachStatementWithItsOwnValues);
+  CPPUNIT_TEST(reportsAnUnknownPreparedStatement);
+  CPPUNIT_TEST(reportsALostWriteAsInDoubt);
+  CPPUNIT_TEST(repeatsALostRead);
+  CPPUNIT_TEST(abortsATransactionWhoseDatabaseCrashes);
+  CPPUNIT_TEST(refusesAtOnceWhatCannotBeServed);
+  CPPUNIT_TEST(servesAgainAfterAPrimaryIsLost);
+  CPPUNIT_TEST(movesAwayFromADrainingPrimary);
+  CPPUNIT_TEST(doesNotPromoteWhileOneHostIsCutOff);
+  CPPUNIT_TEST(servesPrimariesWhileTheStoreIsDown);
+  CPPUNIT_TEST(promotesAlthoughAHostIsPaused);
+  CPPUNIT_TEST_SUITE_END();
+
+  using Code = StatementCode;
+  using Verb = StatementVerb;
+
+  static std::unique_ptr<Simulation> started() {
+    auto Made = std::make_unique<Simulation>(1);
+    Made->run(Milliseconds{1500});
+    return Made;
+  }
+
+  void servesReadsAndWrites() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).Code == Code::Done);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Read).Code == Code::Done);
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  void readsItsOwnWriteWhileReplicasLag() {
+    auto Sim = started();
+    Sim->setReplicationLag("b", Milliseconds{800});
+    Sim->setReplicationLag("c", Milliseconds{800});
+    CallerSessionId Id = Sim->open(1, "own");
+    for (int Round = 0; Round < 20; ++Round) {
+      CPPUNIT_ASSERT(Sim->ask(1, Id, Verb::Write).Code == Code::Done);
+      CPPUNIT_ASSERT(Sim->ask(1, Id, Verb::Read).Code == Code::Done);
+    }
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  void servesBoundedReadsByReplicas() {
+    auto Sim = started();
+    std::vector<CallerSessionId> Sessions;
+    for (int Count = 0; Count < 6; ++Count)
+      Sessions.push_back(Sim->open(0, "bounded"));
+    for (int Round = 0; Round < 10; ++Round) {
+      for (CallerSessionId Id : Sessions)
+        Sim->send(0, Id, Verb::Read);
+      Sim->run(Milliseconds{100});
+    }
+    bool ByReplica =
+        std::any_of(Sim->executions().begin(), Sim->executions().end(),
+                    [](const auto &Run) { return Run.Database != "a"; });
+    CPPUNIT_ASSERT(ByReplica);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(60), Sim->answeredReads());
+  }
+
+  void keepsATransactionOnItsConnection() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Begin);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).State ==
+                   SessionState::InTransaction);
+    // Others must not use the connection in between.
+    CallerSessionId Other = Sim->open(0, "primary");
+    CPPUNIT_ASSERT(Sim->ask(0, Other, Verb::Read).Code == Code::Done);
+    StatementAnswer End = Sim->ask(0, Id, Verb::Commit);
+    CPPUNIT_ASSERT(End.Code == Code::Done && !End.Signature.empty());
+    CPPUNIT_ASSERT(End.State == SessionState::Idle);
+    std::vector<bool> Inside;
+    for (const auto &Run : Sim->executions())
+      Inside.push_back(Run.InTransaction);
+    CPPUNIT_ASSERT(Inside == (std::vector<bool>{true, false, true}));
+  }
+
+  void refusesStatementsAfterAFailure() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Begin);
+    StatementAnswer Failed = Sim->ask(0, Id, Verb::Execute, "unknown");
+    CPPUNIT_ASSERT(Failed.Code == Code::UnknownName);
+    CPPUNIT_ASSERT(Failed.State == SessionState::Failed);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Read).Code == Code::Malformed);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Rollback).State == SessionState::Idle);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Read).Code == Code::Done);
+  }
+
+  // A connection that is given back with an open transaction would mix callers.
+  void rollsBackWhenTheCallerLeaves() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Begin);
+    Sim->ask(0, Id, Verb::Write);
+    Sim->engine(0).sessions().close(Id, Sim->now());
+    Sim->run(Milliseconds{100});
+    CallerSessionId Other = Sim->open(0, "primary");
+    Sim->ask(0, Other, Verb::Write);
+    CPPUNIT_ASSERT(!Sim->executions().back().InTransaction);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->acknowledgedWrites());
+  }
+
+  void endsAnIdleTransaction() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Begin);
+    Sim->ask(0, Id, Verb::Write);
+    Sim->run(Milliseconds{3500});
+    StatementAnswer Late = Sim->ask(0, Id, Verb::Commit);
+    CPPUNIT_ASSERT(Late.Code == Code::Aborted);
+    CPPUNIT_ASSERT(Late.State == SessionState::Idle);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->acknowledgedWrites());
+  }
+
+  void runsEachStatementWithItsOwnValues() {
+    auto Sim = started();
+    CallerSessionId First = Sim->open(0, "primary");
+    CallerSessionId Second = Sim->open(0, "primary");
+    Sim->ask(0, First, Verb::SetValue, "v1");
+    Sim->ask(0, Second, Verb::SetValue, "v2");
+    for (int Round = 0; Round < 5; ++Round) {
+      Sim->ask(0, First, Verb::Read);
+      CPPUNIT_ASSERT(Sim->executions().back().Values ==
+                     (SessionValues{{"v1", "v1"}}));
+      Sim->ask(0, Second, Verb::Read);
+      CPPUNIT_ASSERT(Sim->executions().back().Values ==
+                     (SessionValues{{"v2", "v2"}}));
+    }
+  }
+
+  void reportsAnUnknownPreparedStatement() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Execute, "p").Code ==
+                   Code::UnknownName);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Deallocate, "p").Code ==
+                   Code::UnknownName);
+  }
+
+  void reportsALostWriteAsInDoubt() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Read);
+    Sim->send(0, Id, Verb::Write);
+    Sim->run(Milliseconds{1});
+    Sim->crashDatabase("a", Milliseconds{30000});
+    Sim->run(Milliseconds{100});
+    CPPUNIT_ASSERT(Sim->answerOf(Id)->Code == Code::InDoubt);
+  }
+
+  void repeatsALostRead() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "bounded");
+    Sim->ask(0, Id, Verb::Read);
+    Sim->send(0, Id, Verb::Read);
+    Sim->run(Milliseconds{1});
+    Sim->crashDatabase("a", Milliseconds{30000});
+    Sim->run(Milliseconds{150});
+    CPPUNIT_ASSERT(Sim->answerOf(Id)->Code == Code::Done);
+  }
+
+  void abortsATransactionWhoseDatabaseCrashes() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Begin);
+    Sim->ask(0, Id, Verb::Write);
+    Sim->crashDatabase("a", Milliseconds{30000});
+    Sim->run(Milliseconds{100});
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Commit).Code == Code::Aborted);
+  }
+
+  // A refusal that is already known must not be held until the deadline.
+  void refusesAtOnceWhatCannotBeServed() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Read);
+    Sim->setStoreDown(true);
+    Sim->crashDatabase("a", Milliseconds{30000});
+    Sim->run(Milliseconds{3000});
+    TimePoint Sent = Sim->now();
+    StatementAnswer Refused = Sim->ask(0, Id, Verb::Read);
+    CPPUNIT_ASSERT(Refused.Code == Code::Busy);
+    CPPUNIT_ASSERT(Refused.Detail.find("retry after") != std::string::npos);
+    CPPUNIT_ASSERT(Sim->now() - Sent <= Milliseconds{100});
+  }
+
+  void servesAgainAfterAPrimaryIsLost() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Write);
+    Sim->crashDatabase("a", Milliseconds{30000});
+    TimePoint Lost = Sim->now();
+    while (Sim->ask(0, Id, Verb::Write).Code != Code::Done &&
+           Sim->now() - Lost < Milliseconds{5000})
+      Sim->run(Milliseconds{50});
+    CPPUNIT_ASSERT(Sim->now() - Lost < Milliseconds{2000});
+    CPPUNIT_ASSERT(Sim->leader() != "a");
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  void movesAwayFromADrainingPrimary() {
+    auto Sim = started();
+    Sim->startCallers(2, Milliseconds{4000});
+    Sim->run(Milliseconds{500});
+    Sim->setDraining("a");
+    Sim->run(Milliseconds{3000});
+    CPPUNIT_ASSERT(Sim->leader() != "a");
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  void doesNotPromoteWhileOneHostIsCutOff() {
+    auto Sim = started();
+    Sim->startCallers(2, Milliseconds{5000});
+    Sim->run(Milliseconds{500});
+    Sim->cutHostFromDatabase(1, "a", true);
+    Sim->run(Milliseconds{4000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->promotions());
+  }
+
+  void servesPrimariesWhileTheStoreIsDown() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(2, "primary");
+    CPPUNIT_ASSERT(Sim->ask(2, Id, Verb::Write).Code == Code::Done);
+    Sim->setStoreDown(true);
+    for (int Round = 0; Round < 100; ++Round) {
+      Sim->run(Milliseconds{50});
+      CPPUNIT_ASSERT(Sim->ask(2, Id, Verb::Write).Code == Code::Done);
+    }
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  // The paused host may believe in the old primary when it wakes.
+  void promotesAlthoughAHostIsPaused() {
+    auto Sim = started();
+    Sim->startCallers(3, Milliseconds{8000});
+    Sim->run(Milliseconds{500});
+    Sim->pauseHost(2, Milliseconds{4000});
+    // The primary goes on for that host alone.
+    Sim->cutHostFromDatabase(0, "a", true);
+    Sim->cutHostFromDatabase(1, "a", true);
+    Sim->cutReplication("a", "b", true);
+    Sim->cutReplication("a", "c", true);
+    Sim->run(Milliseconds{7000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->promotions());
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionServiceTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/sessions/simulation.cpp
@@ -0,0 +1,864 @@
+#include "tests/sessions/simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegloom {
+
+namespace {
+
+const GroupId Group = "g";
+constexpr Milliseconds DatabaseLatency{2};
+constexpr Milliseconds ServiceTime{3};
+constexpr Milliseconds HostLatency{2};
+constexpr Milliseconds PromotionDelay{300};
+constexpr Milliseconds DemotionDelay{1000};
+constexpr Milliseconds BoundedAge{1500};
+constexpr Milliseconds ReadYourWritesAge{2500};
+/// A message that a paused host finds when it wakes.
+constexpr Milliseconds StoreTimeout{900};
+
+} // namespace
+
+struct Simulation::Database {
+  DatabaseListing Listing;
+  std::uint64_t Term = 3;
+  std::vector<CommitNumber> Log;
+  TermHistory Terms{{3, 0}};
+  std::uint64_t PausedTerm = 0;
+  bool Up = true;
+  std::uint64_t Life = 1;
+  Milliseconds Lag{8};
+
+  Position position() const { return {Term, Log.size()}; }
+  bool holds(Position Wanted) const {
+    if (Wanted.Term > Term || Wanted.Index > Log.size())
+      return false;
+    for (const TermStart &Entry : Terms)
+      if (Entry.Term > Wanted.Term)
+        return Wanted.Index <= Entry.Start;
+    return true;
+  }
+};
+
+struct Simulation::Link {
+  std::size_t Host = 0;
+  std::uint64_t HostLife = 0;
+  ConnectionId Id = 0;
+  DatabaseId Database;
+  std::uint64_t DatabaseLife = 0;
+  bool Open = true;
+  SessionState State = SessionState::Idle;
+  bool ReadOnly = false;
+  std::uint64_t BegunTerm = 0;
+  std::size_t Writes = 0;
+  CallerSessionId Session = 0;
+  SessionValues Values;
+  std::set<std::string> Prepared;
+  TimePoint BusyUntil;
+};
+
+struct Simulation::Host {
+  HostName Name;
+  std::uint64_t Life = 0;
+  TimePoint PausedUntil;
+  std::unique_ptr<SessionEngine> Engine;
+  std::map<ConnectionId, std::shared_ptr<Link>> Links;
+  bool Registered = false;
+  bool Reading = false;
+  TimePoint ReadAt;
+  TimePoint GossipAt;
+};
+
+Simulation::Simulation(std::uint32_t Seed, std::size_t Hosts) : Random_(Seed) {
+  for (const char *Id : {"a", "b", "c"}) {
+    auto Made = std::make_unique<Database>();
+    Made->Listing.Id = Id;
+    Made->Listing.Group = Group;
+    Made->Listing.Address = Id;
+    Made->Listing.Slots = 5;
+    Made->Listing.Role =
+        Id[0] == 'a' ? DatabaseRole::Primary : DatabaseRole::Replica;
+    Databases_[Id] = std::move(Made);
+  }
+  Authoritative_ = "a";
+  Hosts_.resize(Hosts);
+  for (std::size_t Index = 0; Index < Hosts; ++Index) {
+    Hosts_[Index] = std::make_unique<Host>();
+    Hosts_[Index]->Name = "host-" + std::to_string(Index);
+    startHost(Index);
+  }
+}
+
+Simulation::~Simulation() = default;
+
+void Simulation::run(Milliseconds Span) {
+  TimePoint End = Now_ + Span;
+  while (!Events_.empty() && Events_.begin()->first <= End) {
+    auto Next = Events_.begin();
+    Now_ = std::max(Now_, Next->first);
+    std::function<void()> Call = std::move(Next->second);
+    Events_.erase(Next);
+    Call();
+  }
+  Now_ = End;
+}
+
+void Simulation::after(Milliseconds Delay, std::function<void()> Call) {
+  Events_.emplace(Now_ + Delay, std::move(Call));
+}
+
+void Simulation::atHost(std::size_t Index, Milliseconds Delay,
+                        std::function<void()> Call) {
+  std::uint64_t Life = Hosts_[Index]->Life;
+  after(Delay, [this, Index, Life, Call = std::move(Call)] {
+    Host &At = *Hosts_[Index];
+    if (At.Life != Life)
+      return;
+    if (Now_ < At.PausedUntil) {
+      auto Left = std::chrono::ceil<Milliseconds>(At.PausedUntil - Now_);
+      atHost(Index, Left, Call);
+      return;
+    }
+    Call();
+  });
+}
+
+Simulation::Database &Simulation::database(const DatabaseId &Id) {
+  return *Databases_.at(Id);
+}
+
+bool Simulation::isCut(std::size_t Index, const DatabaseId &Id) const {
+  return DatabaseCuts_.contains({Index, Id});
+}
+
+std::vector<DatabaseListing> Simulation::listings() const {
+  std::vector<DatabaseListing> All;
+  for (const auto &[Id, Held] : Databases_)
+    if (Held->Up)
+      All.push_back(Held->Listing);
+  return All;
+}
+
+SessionEngine::Hooks Simulation::hooksOf(std::size_t Index) {
+  SessionEngine::Hooks Hooks;
+  Hooks.Sessions.Answer = [this](CallerSessionId Id,
+                                 const StatementAnswer &Answer) {
+    noteAnswer(Id, Answer);
+  };
+  Hooks.Sessions.CloseSession = [](CallerSessionId) {};
+  Hooks.Sessions.Report = [](const StatementReport &) {};
+  Hooks.Connections.Open = [this, Index](ConnectionId Id,
+                                         const DatabaseListing &Listing) {
+    openConnection(Index, Id, Listing);
+  };
+  Hooks.Connections.Close = [this, Index](ConnectionId Id) {
+    auto Found = Hosts_[Index]->Links.find(Id);
+    if (Found == Hosts_[Index]->Links.end())
+      return;
+    Found->second->Open = false;
+    Hosts_[Index]->Links.erase(Found);
+  };
+  Hooks.Send = [this, Index](ConnectionId Id, const DatabaseCommand &Command) {
+    sendCommand(Index, Id, Command);
+  };
+  Hooks.LeadershipChanged = [this, Index](const LeadershipRecord &) {
+    atHost(Index, Milliseconds{0}, [this, Index] { gossip(Index); });
+  };
+  Hooks.Probe = [this, Index](const DatabaseListing &Listing) {
+    TimePoint BegunAt = Now_;
+    DatabaseId Id = Listing.Id;
+    bool Answers = !isCut(Index, Id) && database(Id).Up;
+    atHost(Index, Answers ? DatabaseLatency * 2 : Milliseconds{700},
+           [this, Index, Id, Answers, BegunAt] {
+             Hosts_[Index]->Engine->onProbed(Id, Answers, BegunAt, Now_);
+           });
+  };
+  Hooks.Promotions.Ask = [this, Index](const DatabaseListing &Listing,
+                                       const DatabaseCommand &Command) {
+    askDatabase(Index, Listing, Command);
+  };
+  Hooks.Promotions.Report = [](const PromotionReport &) {};
+  Hooks.Promotions.ListHosts = [this, Index] {
+    TimePoint BegunAt = Now_;
+    storeCall(
+        Index, false,
+        [this, Index, BegunAt] {
+          auto Listed = Registered_;
+          return [this, Index, Listed, BegunAt] {
+            Hosts_[Index]->Engine->applyHosts(Listed, BegunAt);
+          };
+        },
+        [] {});
+  };
+  Hooks.Promotions.Promote =
+      [this, Index](const GroupId &Name, const DatabaseId &Id,
+                    std::uint64_t Token) { promote(Index, Name, Id, Token); };
+  Hooks.Promotions.Write = [this, Index](const LeadershipRecord &Record,
+                                         std::uint64_t Expected) {
+    storeCall(
+        Index, true,
+        [this, Index, Record, Expected]() -> std::function<void()> {
+          std::uint64_t Present = Records_.contains(Record.Group)
+                                      ? Records_[Record.Group].Revision
+                                      : 0;
+          LeadershipRecord Current;
+          WriteOutcome Outcome = WriteOutcome::Conflict;
+          if (Present == Expected) {
+            Current = Record;
+            Current.Revision = ++Revision_;
+            Records_[Record.Group] = Current;
+            Outcome = WriteOutcome::Written;
+          }
+          return [this, Index, Record, Outcome, Current] {
+            Hosts_[Index]->Engine->onRecordWritten(Record.Group, Outcome,
+                                                   Current, Now_);
+            gossip(Index);
+          };
+        },
+        [this, Index, Record] {
+          Hosts_[Index]->Engine->onRecordWritten(
+              Record.Group, WriteOutcome::Unknown, {}, Now_);
+        });
+  };
+  Hooks.Promotions.WriteDuty = [this, Index](const PromotionDuty &Duty,
+                                             std::uint64_t Expected) {
+    storeCall(
+        Index, true,
+        [this, Index, Duty, Expected]() -> std::function<void()> {
+          PromotionDuty Current;
+          WriteOutcome Outcome = WriteOutcome::Conflict;
+          if (Duty_.Revision == Expected) {
+            Current = Duty;
+            Current.Revision = ++Revision_;
+            Duty_ = Current;
+            Outcome = WriteOutcome::Written;
+          }
+          return [this, Index, Outcome, Current] {
+            Hosts_[Index]->Engine->promotions().onDutyWritten(Outcome, Current,
+                                                              Now_);
+          };
+        },
+        [this, Index] {
+          Hosts_[Index]->Engine->promotions().onDutyWritten(
+              WriteOutcome::Unknown, {}, Now_);
+        });
+  };
+  return Hooks;
+}
+
+void Simulation::startHost(std::size_t Index) {
+  Host &At = *Hosts_[Index];
+  for (auto &[Id, Used] : At.Links)
+    Used->Open = false;
+  At.Links.clear();
+  ++At.Life;
+  At.PausedUntil = Now_;
+  At.Registered = false;
+  At.Reading = false;
+  At.Engine = std::make_unique<SessionEngine>(
+      At.Name, At.Life * 1000 + Index, At.Name,
+      [](const ZoneName &) { return Distance::SameZone; }, hooksOf(Index));
+  SessionConfiguration Configuration;
+  Configuration.Version = 1;
+  Configuration.Groups[Group] = {Group, 34, 0};
+  auto addRoute = [&](const char *Name, ConsistencyMode Mode,
+                      Milliseconds Age) {
+    SessionRoute Route;
+    Route.Database = Name;
+    Route.Group = Group;
+    Route.Mode = Mode;
+    Route.MaximumAge = Age;
+    Configuration.Routes[Name] = Route;
+  };
+  addRoute("primary", ConsistencyMode::Primary, Milliseconds{0});
+  addRoute("bounded", ConsistencyMode::BoundedStaleness, BoundedAge);
+  addRoute("own", ConsistencyMode::ReadYourWrites, ReadYourWritesAge);
+  At.Engine->applyConfiguration(Configuration, Now_);
+  At.Engine->applyDatabases(listings(), ListRevision_, Now_);
+  std::uint64_t Life = At.Life;
+  atHost(Index, Milliseconds{1 + static_cast<int>(Index)},
+         [this, Index, Life] { tickHost(Index, Life); });
+}
+
+void Simulation::storeCall(std::size_t Index, bool IsWrite,
+                           std::function<std::function<void()>()> Execute,
+                           std::function<void()> OnFailure) {
+  bool Reached = !StoreDown_ && !StoreCuts_.contains(Index);
+  if (!Reached) {
+    atHost(Index, StoreTimeout, std::move(OnFailure));
+    return;
+  }
+  bool Lost =
+      IsWrite && std::uniform_real_distribution<>(0, 1)(Random_) < LostWrites_;
+  // A lost write may take effect much later, if its condition still holds.
+  Milliseconds Delay = StoreDelay_ / 2;
+  if (Lost)
+    Delay += Milliseconds{std::uniform_int_distribution<>(0, 3000)(Random_)};
+  if (Lost)
+    atHost(Index, StoreTimeout, OnFailure);
+  after(Delay, [this, Index, Lost, Execute = std::move(Execute)] {
+    std::function<void()> Answer = Execute();
+    if (!Lost)
+      atHost(Index, StoreDelay_ / 2, std::move(Answer));
+  });
+}
+
+void Simulation::readRecords(std::size_t Index) {
+  Host &At = *Hosts_[Index];
+  At.Reading = true;
+  At.ReadAt = Now_;
+  TimePoint BegunAt = Now_;
+  storeCall(
+      Index, false,
+      [this, Index, BegunAt] {
+        std::vector<LeadershipRecord> Shown;
+        for (const auto &[Name, Record] : Records_)
+          Shown.push_back(Record);
+        PromotionDuty Duty = Duty_;
+        std::vector<DatabaseListing> Listed = listings();
+        std::uint64_t ListRevision = ListRevision_;
+        return [this, Index, Shown, Duty, Listed, ListRevision, BegunAt] {
+          Host &Reader = *Hosts_[Index];
+          Reader.Reading = false;
+          Reader.Engine->setReachesStore(true);
+          Reader.Engine->promotions().onDuty(Duty, Now_);
+          Reader.Engine->applyRecords(Shown, BegunAt, Now_);
+          Reader.Engine->applyDatabases(Listed, ListRevision, Now_);
+          Reader.Engine->promotions().setListTrustedSince(TimePoint{});
+        };
+      },
+      [this, Index] {
+        Hosts_[Index]->Reading = false;
+        Hosts_[Index]->Engine->setReachesStore(false);
+        Hosts_[Index]->Engine->promotions().setListTrustedSince(std::nullopt);
+      });
+}
+
+void Simulation::tickHost(std::size_t Index, std::uint64_t Life) {
+  Host &At = *Hosts_[Index];
+  if (!At.Registered) {
+    At.Registered = true;
+    storeCall(
+        Index, true,
+        [this, Index]() -> std::function<void()> {
+          Registered_[Hosts_[Index]->Name] = Hosts_[Index]->Name;
+          return [this, Index] {
+            Hosts_[Index]->Engine->applyHosts(Registered_, Now_);
+            readRecords(Index);
+          };
+        },
+        [this, Index] { Hosts_[Index]->Registered = false; });
+  } else if (!At.Reading && Now_ - At.ReadAt > Milliseconds{300} &&
+             !At.Engine->hosts().peers().empty()) {
+    readRecords(Index);
+  }
+  At.Engine->tick(Now_);
+  if (Now_ - At.GossipAt > Milliseconds{200})
+    gossip(Index);
+  atHost(Index, Milliseconds{50},
+         [this, Index, Life] { tickHost(Index, Life); });
+}
+
+void Simulation::gossip(std::size_t Index) {
+  Host &At = *Hosts_[Index];
+  At.GossipAt = Now_;
+  for (std::size_t To = 0; To < Hosts_.size(); ++To) {
+    if (To == Index || HostCuts_.contains(std::minmax(To, Index)))
+      continue;
+    if (!At.Engine->hosts().peers().contains(Hosts_[To]->Name))
+      continue;
+    HostObservation Message = At.Engine->observationFor(Hosts_[To]->Name, Now_);
+    atHost(To, HostLatency, [this, To, Message] {
+      Hosts_[To]->Engine->onObservation(Message, Now_);
+    });
+  }
+}
+
+void Simulation::openConnection(std::size_t Index, ConnectionId Id,
+                                const DatabaseListing &Listing) {
+  TimePoint BegunAt = Now_;
+  DatabaseId Name = Listing.Id;
+  Database &To = database(Name);
+  if (isCut(Index, Name) || !To.Up) {
+    bool Refused = !To.Up && !isCut(Index, Name);
+    atHost(Index, Refused ? DatabaseLatency : Milliseconds{700},
+           [this, Index, Id, Refused] {
+             Hosts_[Index]->Engine->runner().onOpenFailed(Id, std::nullopt,
+                                                          Refused, Now_);
+           });
+    return;
+  }
+  auto Made = std::make_shared<Link>();
+  Made->Host = Index;
+  Made->HostLife = Hosts_[Index]->Life;
+  Made->Id = Id;
+  Made->Database = Name;
+  Made->DatabaseLife = To.Life;
+  Hosts_[Index]->Links[Id] = Made;
+  Position Log = To.position();
+  atHost(Index, DatabaseLatency * 2 + Milliseconds{12},
+         [this, Index, Id, Log, BegunAt] {
+           Hosts_[Index]->Engine->runner().onOpened(Id, Log, BegunAt, Now_);
+         });
+}
+
+void Simulation::sendCommand(std::size_t Index, ConnectionId Id,
+                             const DatabaseCommand &Command) {
+  auto Found = Hosts_[Index]->Links.find(Id);
+  if (Found == Hosts_[Index]->Links.end())
+    return;
+  std::shared_ptr<Link> On = Found->second;
+  On->BusyUntil = std::max(On->BusyUntil, Now_ + DatabaseLatency);
+  if (Command.Verb == CommandVerb::Forward)
+    On->BusyUntil += ServiceTime;
+  auto Delay = std::chrono::ceil<Milliseconds>(On->BusyUntil - Now_);
+  // What is sent into a cut is lost, and so is the connection.
+  if (isCut(Index, On->Database))
+    return;
+  after(Delay, [this, On, Command] { execute(On, Command); });
+}
+
+void Simulation::execute(const std::shared_ptr<Link> &On,
+                         DatabaseCommand Command) {
+  Database &At = database(On->Database);
+  if (!On->Open || !At.Up || At.Life != On->DatabaseLife)
+    return;
+  StatementAnswer Answer = run(*On, Command);
+  if (isCut(On->Host, On->Database))
+    return;
+  std::size_t Index = On->Host;
+  atHost(Index, DatabaseLatency, [this, Index, On, Answer] {
+    if (On->Open && Hosts_[Index]->Life == On->HostLife)
+      Hosts_[Index]->Engine->runner().onAnswer(On->Id, Answer, Now_);
+  });
+}
+
+/// Executes a command as the platform's databases do.
+StatementAnswer Simulation::run(Link &On, const DatabaseCommand &Command) {
+  Database &At = database(On.Database);
+  bool Leads = At.Listing.Role == DatabaseRole::Primary;
+  StatementAnswer Answer;
+  auto fail = [&](StatementCode Code) {
+    Answer.Code = Code;
+    if (On.State == SessionState::InTransaction)
+      On.State = SessionState::Failed;
+  };
+  auto make = [&] {
+    At.Log.push_back(++LastCommit_);
+    replicate(On.Database);
+    return LastCommit_;
+  };
+  switch (Command.Verb) {
+  case CommandVerb::SetValue:
+    On.Values[Command.Name] = Command.Text;
+    break;
+  case CommandVerb::Prepare:
+    On.Prepared.insert(Command.Name);
+    break;
+  case CommandVerb::Reset:
+    On.Values.clear();
+    On.Prepared.clear();
+    break;
+  case CommandVerb::Rollback:
+    On.State = SessionState::Idle;
+    On.Writes = 0;
+    break;
+  case CommandVerb::Begin:
+  case CommandVerb::BeginRead:
+    if (Command.Floor && !At.holds(*Command.Floor))
+      fail(StatementCode::Behind);
+    else if (Command.Verb == CommandVerb::Begin && !Leads)
+      fail(StatementCode::ReadOnly);
+    else
+      On.State = SessionState::InTransaction;
+    On.ReadOnly = Command.Verb == CommandVerb::BeginRead;
+    On.BegunTerm = At.Term;
+    break;
+  case CommandVerb::Forward: {
+    auto Waiting =
+        std::find_if(Pending_.begin(), Pending_.end(), [&](const auto &Entry) {
+          return std::to_string(Entry.first) == Command.Id;
+        });
+    bool InTransaction = On.State == SessionState::InTransaction;
+    Executions_.push_back(
+        {On.Database, Command.Text, On.Values, InTransaction});
+    bool Lost =
+        InTransaction && !On.ReadOnly && (!Leads || At.Term != On.BegunTerm);
+    bool IsCommit = Command.Text == "COMMIT";
+    bool IsWrite = Command.Text.starts_with("WRITE");
+    Answer.Signature = "s";
+    if (Command.Floor && !At.holds(*Command.Floor)) {
+      fail(StatementCode::Behind);
+    } else if ((IsWrite && !Leads) || (Lost && (!IsCommit || On.Writes > 0))) {
+      fail(StatementCode::ReadOnly);
+    } else if (IsWrite && InTransaction) {
+      ++On.Writes;
+    } else if (IsWrite || (IsCommit && On.Writes > 0)) {
+      CommitNumber Made = make();
+      if (Waiting != Pending_.end()) {
+        Waiting->second.Commit = Made;
+        Waiting->second.Late = On.Database != Authoritative_;
+        Waiting->second.Database = On.Database;
+      }
+    } else if (!IsCommit && Waiting != Pending_.end() && !InTransaction) {
+      Pending &Asked = Waiting->second;
+      Read Seen;
+      Seen.Database = On.Database;
+      std::set<CommitNumber> Held(At.Log.begin(), At.Log.end());
+      Milliseconds Age{0};
+      if (Asked.Route == "bounded")
+        Age = BoundedAge;
+      if (Asked.Route == "own")
+        Age = ReadYourWritesAge;
+      for (const Ack &Known : Acknowledged_) {
+        bool Own = Asked.Route == "own" && Known.Session == Waiting->first;
+        bool Bound = Known.At < Asked.SentAt - Age;
+        if ((Bound || Own) && !Held.contains(Known.Number))
+          Seen.Missing.push_back(Known.Number);
+      }
+      Asked.Seen = Seen;
+    }
+    if (IsCommit && Answer.Code == StatementCode::Done) {
+      On.State = SessionState::Idle;
+      On.Writes = 0;
+    }
+    break;
+  }
+  default:
+    fail(StatementCode::Malformed);
+  }
+  Answer.State = On.State;
+  Answer.Log = At.position();
+  return Answer;
+}
+
+void Simulation::askDatabase(std::size_t Index, const DatabaseListing &Listing,
+                             const DatabaseCommand &Command) {
+  TimePoint BegunAt = Now_;
+  DatabaseId Id = Listing.Id;
+  auto unanswered = [this, Index, Id, BegunAt] {
+    atHost(Index, Milliseconds{700}, [this, Index, Id, BegunAt] {
+      Hosts_[Index]->Engine->onReport(Id, std::nullopt, BegunAt, Now_);
+    });
+  };
+  if (isCut(Index, Id) || !database(Id).Up) {
+    unanswered();
+    return;
+  }
+  after(DatabaseLatency, [this, Index, Id, Command, BegunAt, unanswered] {
+    Database &At = database(Id);
+    if (!At.Up || isCut(Index, Id)) {
+      unanswered();
+      return;
+    }
+    if (Command.Verb == CommandVerb::Pause && Command.Term > At.Term)
+      At.PausedTerm = Command.Term;
+    if (Command.Verb == CommandVerb::Resume)
+      At.PausedTerm = 0;
+    DatabaseReport Report;
+    Report.Role = At.Listing.Role;
+    Report.Term = At.Term;
+    Report.Received = At.position();
+    Report.PausedTerm = At.PausedTerm;
+    atHost(Index, DatabaseLatency, [this, Index, Id, Report, BegunAt] {
+      Hosts_[Index]->Engine->onReport(Id, Report, BegunAt, Now_);
+    });
+  });
+}
+
+/// Brings the other databases to the log of a primary, each after its lag.
+void Simulation::replicate(const DatabaseId &From) {
+  Database &Source = database(From);
+  for (auto &[Id, Target] : Databases_) {
+    if (Id == From)
+      continue;
+    std::uint64_t Term = Source.Term;
+    std::vector<CommitNumber> Log = Source.Log;
+    TermHistory Terms = Source.Terms;
+    after(Target->Lag, [this, From, Id = Id, Term, Log, Terms] {
+      Database &To = database(Id);
+      bool Reached = To.Up && database(From).Up &&
+                     !ReplicationCuts_.contains(std::minmax(From, Id));
+      bool Leads = To.Listing.Role == DatabaseRole::Primary;
+      bool Older =
+          To.Term > Term || (To.Term == Term && To.Log.size() > Log.size());
+      if (!Reached || Leads || Older || To.PausedTerm > 0)
+        return;
+      To.Term = Term;
+      To.Log = Log;
+      To.Terms = Terms;
+    });
+  }
+}
+
+void Simulation::promote(std::size_t Index, const GroupId &Name,
+                         const DatabaseId &Id, std::uint64_t Token) {
+  auto answer = [this, Index, Name](PromotionOutcome Outcome) {
+    atHost(Index, Milliseconds{5}, [this, Index, Name, Outcome] {
+      Hosts_[Index]->Engine->promotions().onPromoted(Name, Outcome, Now_);
+    });
+  };
+  HostName Holder = Hosts_[Index]->Name;
+  if (Token < HighestToken_)
+    Violations_.push_back("a lower token than one seen before, by " + Holder);
+  HighestToken_ = std::max(HighestToken_, Token);
+  auto [Known, Inserted] = TokenHolders_.emplace(Token, Holder);
+  if (Known->second != Holder)
+    Violations_.push_back("one token of two holders");
+  if (!database(Id).Up) {
+    answer(PromotionOutcome::NotRunning);
+    return;
+  }
+  answer(PromotionOutcome::Accepted);
+  if (Id == Authoritative_)
+    return;
+  after(PromotionDelay, [this, Id] {
+    Database &Next = database(Id);
+    if (!Next.Up || Id == Authoritative_)
+      return;
+    DatabaseId Old = Authoritative_;
+    Authoritative_ = Id;
+    ++Promotions_;
+    Next.Terms.push_back({++Term_, Next.Log.size()});
+    Next.Term = Term_;
+    Next.PausedTerm = 0;
+    Next.Listing.Role = DatabaseRole::Primary;
+    ++ListRevision_;
+    replicate(Id);
+    followLater(Old, Id);
+  });
+}
+
+/// A replaced primary follows a second after it reaches the new one.
+void Simulation::followLater(const DatabaseId &Old, const DatabaseId &Next) {
+  after(DemotionDelay, [this, Old, Next] {
+    if (Authoritative_ != Next)
+      return;
+    Database &Former = database(Old);
+    if (!Former.Up || ReplicationCuts_.contains(std::minmax(Old, Next))) {
+      followLater(Old, Next);
+      return;
+    }
+    Former.Listing.Role = DatabaseRole::Replica;
+    ++ListRevision_;
+    replicate(Next);
+  });
+}
+
+CallerSessionId Simulation::open(std::size_t Index, const std::string &Route) {
+  CallerSessionId Id = ++LastSession_;
+  Routes_[Id] = Route;
+  Hosts_[Index]->Engine->sessions().open(Id, Route);
+  return Id;
+}
+
+void Simulation::send(std::size_t Index, CallerSessionId Session,
+                      StatementVerb Verb, const std::string &Text) {
+  CallerStatement Statement;
+  Statement.Id = std::to_string(Session);
+  Statement.Verb = Verb;
+  switch (Verb) {
+  case StatementVerb::Read:
+    Statement.Text = "READ " + Text;
+    break;
+  case StatementVerb::Write:
+    Statement.Text = "WRITE " + Text;
+    break;
+  case StatementVerb::Commit:
+    Statement.Text = "COMMIT";
+    break;
+  case StatementVerb::SetValue:
+    Statement.Name = Text;
+    Statement.Argument = Text;
+    break;
+  default:
+    break;
+  }
+  Answers_.erase(Session);
+  Pending Asked;
+  Asked.SentAt = Now_;
+  Asked.Verb = Verb;
+  Asked.Text = Text;
+  Asked.Route = Routes_[Session];
+  Pending_[Session] = Asked;
+  atHost(Index, Milliseconds{0}, [this, Index, Session, Statement] {
+    Hosts_[Index]->Engine->sessions().onStatement(Session, Statement, Now_);
+  });
+}
+
+void Simulation::noteAnswer(CallerSessionId Session,
+                            const StatementAnswer &Answer) {
+  Answers_[Session] = Answer;
+  auto Found = Pending_.find(Session);
+  if (Found == Pending_.end())
+    return;
+  Pending Asked = std::move(Found->second);
+  Pending_.erase(Found);
+  bool Done = Answer.Code == StatementCode::Done;
+  if (Done && Asked.Commit)
+    Acknowledged_.push_back(
+        {*Asked.Commit, Now_, Asked.Database, Session, Asked.Late});
+  if (Done && Asked.Seen)
+    Reads_.push_back(*Asked.Seen);
+  bool Promises = Answer.Code == StatementCode::Busy ||
+                  Answer.Code == StatementCode::Aborted ||
+                  Answer.Code == StatementCode::ReadOnly ||
+                  Answer.Code == StatementCode::Behind;
+  if (Promises && Asked.Commit)
+    Violations_.push_back("a commit was reported as not kept");
+}
+
+std::optional<StatementAnswer>
+Simulation::answerOf(CallerSessionId Session) const {
+  auto Found = Answers_.find(Session);
+  if (Found == Answers_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+StatementAnswer Simulation::ask(std::size_t Index, CallerSessionId Session,
+                                StatementVerb Verb, const std::string &Text) {
+  send(Index, Session, Verb, Text);
+  for (int Step = 0; Step < 1000 && !answerOf(Session); ++Step)
+    run(Milliseconds{5});
+  return answerOf(Session).value();
+}
+
+void Simulation::nextStatement(std::size_t Index, CallerSessionId Session,
+                               std::string Route, TimePoint Until) {
+  if (Now_ >= Until)
+    return;
+  std::uint64_t Life = Hosts_[Index]->Life;
+  if (!Pending_.contains(Session)) {
+    bool Writes = Route != "bounded" &&
+                  std::uniform_int_distribution<>(0, 2)(Random_) == 0;
+    send(Index, Session, Writes ? StatementVerb::Write : StatementVerb::Read);
+  }
+  Milliseconds Pause{std::uniform_int_distribution<>(5, 60)(Random_)};
+  after(Pause, [this, Index, Session, Route, Until, Life] {
+    if (Hosts_[Index]->Life == Life) {
+      nextStatement(Index, Session, Route, Until);
+      return;
+    }
+    // The process ended, and the session with it.
+    Pending_.erase(Session);
+    nextStatement(Index, open(Index, Route), Route, Until);
+  });
+}
+
+void Simulation::startCallers(std::size_t PerHost, Milliseconds Span) {
+  for (std::size_t Index = 0; Index < Hosts_.size(); ++Index)
+    for (std::size_t Count = 0; Count < PerHost; ++Count)
+      for (const char *Route : {"primary", "bounded", "own"})
+        nextStatement(Index, open(Index, Route), Route, Now_ + Span);
+}
+
+std::vector<std::string> Simulation::violations() const {
+  std::vector<std::string> All = Violations_;
+  const Database &Final = *Databases_.at(Authoritative_);
+  std::set<CommitNumber> Kept(Final.Log.begin(), Final.Log.end());
+  for (const Ack &Known : Acknowledged_)
+    if (Known.AfterPromotion)
+      All.push_back("a write was acknowledged at " + Known.Database +
+                    " after another database was promoted");
+  for (const Read &Seen : Reads_)
+    for (CommitNumber Number : Seen.Missing)
+      if (Kept.contains(Number))
+        All.push_back("a read at " + Seen.Database + " lacked commit " +
+                      std::to_string(Number));
+  return All;
+}
+
+DatabaseId Simulation::leader() const { return Authoritative_; }
+
+SessionEngine &Simulation::engine(std::size_t Index) {
+  return *Hosts_[Index]->Engine;
+}
+
+std::size_t Simulation::connectionsOf(const DatabaseId &Id) const {
+  std::size_t Count = 0;
+  for (const auto &At : Hosts_)
+    for (const auto &[Connection, Used] : At->Links)
+      Count += Used->Database == Id ? 1 : 0;
+  return Count;
+}
+
+void Simulation::cutHostFromDatabase(std::size_t Index, const DatabaseId &Id,
+                                     bool Cut) {
+  if (Cut)
+    DatabaseCuts_.emplace(Index, Id);
+  else
+    DatabaseCuts_.erase({Index, Id});
+}
+
+void Simulation::cutHostFromStore(std::size_t Index, bool Cut) {
+  if (Cut)
+    StoreCuts_.insert(Index);
+  else
+    StoreCuts_.erase(Index);
+}
+
+void Simulation::cutHosts(std::size_t A, std::size_t B, bool Cut) {
+  if (Cut)
+    HostCuts_.insert(std::minmax(A, B));
+  else
+    HostCuts_.erase(std::minmax(A, B));
+}
+
+void Simulation::cutReplication(const DatabaseId &A, const DatabaseId &B,
+                                bool Cut) {
+  if (Cut)
+    ReplicationCuts_.insert(std::minmax(A, B));
+  else
+    ReplicationCuts_.erase(std::minmax(A, B));
+}
+
+void Simulation::pauseHost(std::size_t Index, Milliseconds Span) {
+  Hosts_[Index]->PausedUntil = Now_ + Span;
+}
+
+void Simulation::restartHost(std::size_t Index) { startHost(Index); }
+
+void Simulation::crashDatabase(const DatabaseId &Id, Milliseconds Down) {
+  Database &Crashed = database(Id);
+  Crashed.Up = false;
+  Crashed.PausedTerm = 0;
+  ++Crashed.Life;
+  ++ListRevision_;
+  for (auto &At : Hosts_) {
+    std::vector<std::shared_ptr<Link>> Broken;
+    for (auto &[Connection, Used] : At->Links)
+      if (Used->Database == Id)
+        Broken.push_back(Used);
+    for (const std::shared_ptr<Link> &Used : Broken) {
+      std::size_t Index = Used->Host;
+      At->Links.erase(Used->Id);
+      atHost(Index, DatabaseLatency, [this, Index, Used] {
+        if (!std::exchange(Used->Open, false))
+          return;
+        Hosts_[Index]->Engine->runner().onClosed(Used->Id, Now_);
+      });
+    }
+  }
+  after(Down, [this, Id] {
+    Database &Back = database(Id);
+    Back.Up = true;
+    ++ListRevision_;
+    if (Id == Authoritative_)
+      return;
+    Back.Listing.Role = DatabaseRole::Replica;
+    replicate(Authoritative_);
+  });
+}
+
+void Simulation::setDraining(const DatabaseId &Id) {
+  database(Id).Listing.Draining = true;
+  ++ListRevision_;
+}
+
+void Simulation::setReplicationLag(const DatabaseId &Id, Milliseconds Lag) {
+  database(Id).Lag = Lag;
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/sessions/simulation.h
@@ -0,0 +1,176 @@
+#ifndef NUTMEGLOOM_TESTS_SESSIONS_SIMULATION_H
+#define NUTMEGLOOM_TESTS_SESSIONS_SIMULATION_H
+
+#include "sessions/sessionengine.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace nutmegloom {
+
+/// A commit of a caller, by the order in which databases made commits.
+using CommitNumber = std::uint64_t;
+
+/// Hosts, databases of one group, the store and the promotion call in one
+/// process, on a clock of its own. Faults are set on links and parts; what
+/// callers were told is checked against what the databases did.
+class Simulation {
+public:
+  explicit Simulation(std::uint32_t Seed, std::size_t Hosts = 3);
+  ~Simulation();
+
+  TimePoint now() const { return Now_; }
+  /// Moves the clock and delivers what happens in that time.
+  void run(Milliseconds Span);
+  /// Calls the function at a time from now.
+  void after(Milliseconds Delay, std::function<void()> Call);
+
+  // Faults.
+  void cutHostFromDatabase(std::size_t Host, const DatabaseId &Id, bool Cut);
+  void cutHostFromStore(std::size_t Host, bool Cut);
+  void cutHosts(std::size_t A, std::size_t B, bool Cut);
+  void cutReplication(const DatabaseId &A, const DatabaseId &B, bool Cut);
+  void setStoreDown(bool Down) { StoreDown_ = Down; }
+  void setStoreDelay(Milliseconds Delay) { StoreDelay_ = Delay; }
+  /// Share of writes to the store that are done and not answered.
+  void setLostWrites(double Share) { LostWrites_ = Share; }
+  /// The host does nothing until then; what reaches it waits.
+  void pauseHost(std::size_t Host, Milliseconds Span);
+  /// The host's process ends and starts again.
+  void restartHost(std::size_t Host);
+  void crashDatabase(const DatabaseId &Id, Milliseconds Down);
+  void setDraining(const DatabaseId &Id);
+  void setReplicationLag(const DatabaseId &Id, Milliseconds Lag);
+
+  // Callers.
+  /// Opens a session at a host; the name is that of a route.
+  CallerSessionId open(std::size_t Host, const std::string &Route);
+  void send(std::size_t Host, CallerSessionId Session, StatementVerb Verb,
+            const std::string &Text = "x");
+  std::optional<StatementAnswer> answerOf(CallerSessionId Session) const;
+  /// Sends a statement and runs until it is answered.
+  StatementAnswer ask(std::size_t Host, CallerSessionId Session,
+                      StatementVerb Verb, const std::string &Text = "x");
+  /// Starts sessions that send statements one after the other for the span.
+  void startCallers(std::size_t PerHost, Milliseconds Span);
+
+  // What was seen.
+  std::size_t acknowledgedWrites() const { return Acknowledged_.size(); }
+  std::size_t answeredReads() const { return Reads_.size(); }
+  std::size_t promotions() const { return Promotions_; }
+  /// Broken promises, one line each; empty when all were kept.
+  std::vector<std::string> violations() const;
+  DatabaseId leader() const;
+  SessionEngine &engine(std::size_t Host);
+  /// Statements that a database ran, with their session values.
+  struct Execution {
+    DatabaseId Database;
+    std::string Text;
+    SessionValues Values;
+    bool InTransaction = false;
+  };
+  const std::vector<Execution> &executions() const { return Executions_; }
+  std::size_t connectionsOf(const DatabaseId &Id) const;
+
+private:
+  struct Database;
+  struct Link;
+  struct Host;
+  struct Read {
+    DatabaseId Database;
+    ConsistencyMode Mode = ConsistencyMode::Primary;
+    /// Commits that it had to see and that its log lacked.
+    std::vector<CommitNumber> Missing;
+  };
+  struct Ack {
+    CommitNumber Number = 0;
+    TimePoint At;
+    DatabaseId Database;
+    CallerSessionId Session = 0;
+    /// It was made after another database had been promoted.
+    bool AfterPromotion = false;
+  };
+  struct Pending {
+    TimePoint SentAt;
+    StatementVerb Verb = StatementVerb::Read;
+    std::string Text;
+    std::string Route;
+    std::optional<CommitNumber> Commit;
+    std::optional<Read> Seen;
+    bool Late = false;
+    DatabaseId Database;
+  };
+
+  void startHost(std::size_t Index);
+  SessionEngine::Hooks hooksOf(std::size_t Index);
+  void tickHost(std::size_t Index, std::uint64_t Life);
+  void gossip(std::size_t Index);
+  void readRecords(std::size_t Index);
+  /// Runs the call at the host, once it is not paused, if it still lives.
+  void atHost(std::size_t Index, Milliseconds Delay,
+              std::function<void()> Call);
+  void storeCall(std::size_t Index, bool IsWrite,
+                 std::function<std::function<void()>()> Execute,
+                 std::function<void()> OnFailure);
+
+  void openConnection(std::size_t Index, ConnectionId Id,
+                      const DatabaseListing &Listing);
+  void sendCommand(std::size_t Index, ConnectionId Id,
+                   const DatabaseCommand &Command);
+  void execute(const std::shared_ptr<Link> &On, DatabaseCommand Command);
+  StatementAnswer run(Link &On, const DatabaseCommand &Command);
+  void askDatabase(std::size_t Index, const DatabaseListing &Listing,
+                   const DatabaseCommand &Command);
+  void promote(std::size_t Index, const GroupId &Group, const DatabaseId &Id,
+               std::uint64_t Token);
+  void replicate(const DatabaseId &From);
+  void followLater(const DatabaseId &Old, const DatabaseId &Next);
+  void noteAnswer(CallerSessionId Session, const StatementAnswer &Answer);
+  void nextStatement(std::size_t Index, CallerSessionId Session,
+                     std::string Route, TimePoint Until);
+  Database &database(const DatabaseId &Id);
+  std::vector<DatabaseListing> listings() const;
+  bool isCut(std::size_t Host, const DatabaseId &Id) const;
+
+  TimePoint Now_{std::chrono::hours(1)};
+  std::mt19937 Random_;
+  std::multimap<TimePoint, std::function<void()>> Events_;
+  std::vector<std::unique_ptr<Host>> Hosts_;
+  std::map<DatabaseId, std::unique_ptr<Database>> Databases_;
+  DatabaseId Authoritative_;
+  std::uint64_t Term_ = 3;
+  CommitNumber LastCommit_ = 0;
+
+  // The store.
+  std::map<GroupId, LeadershipRecord> Records_;
+  PromotionDuty Duty_;
+  std::uint64_t Revision_ = 10;
+  std::uint64_t ListRevision_ = 1;
+  std::uint64_t HighestToken_ = 0;
+  std::map<std::uint64_t, HostName> TokenHolders_;
+  std::map<HostName, std::string> Registered_;
+  bool StoreDown_ = false;
+  Milliseconds StoreDelay_{4};
+  double LostWrites_ = 0;
+
+  std::set<std::pair<std::size_t, DatabaseId>> DatabaseCuts_;
+  std::set<std::size_t> StoreCuts_;
+  std::set<std::pair<std::size_t, std::size_t>> HostCuts_;
+  std::set<std::pair<DatabaseId, DatabaseId>> ReplicationCuts_;
+
+  CallerSessionId LastSession_ = 0;
+  std::map<CallerSessionId, Pending> Pending_;
+  std::map<CallerSessionId, StatementAnswer> Answers_;
+  std::map<CallerSessionId, std::string> Routes_;
+  std::vector<Ack> Acknowledged_;
+  std::vector<Read> Reads_;
+  std::vector<std::string> Violations_;
+  std::vector<Execution> Executions_;
+  std::size_t Promotions_ = 0;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_TESTS_SESSIONS_SIMULATION_H
