Check terms, pauses and liveness of holders in promotions

Change: candidates by term first; the next leader must report the claimed term; all members are paused and asked again before the call; a primary needs no pause; a claim of a host that is heard from is left alone for 6 s, others are taken over after 2.5 s.

Each claim waits one validity while a host that is gone for good is still listed: open.

--- a/packages/sessions/leadershipcheck.cpp
+++ b/packages/sessions/leadershipcheck.cpp
@@ -66,6 +66,8 @@
     return std::nullopt;
   std::uint64_t Term = Leader->second.Report.Term;
   TimePoint Earliest = Leader->second.BegunAt;
+  // A leader that is known alone would only speak for itself.
+  std::size_t Others = 0;
   for (const DatabaseView *View : Table_.membersOf(Group)) {
     auto Heard = Reports_.find(View->Listing.Id);
     if (Heard == Reports_.end())
@@ -75,9 +77,10 @@
     if (!IsLeader && (Report.Role != DatabaseRole::Replica ||
                       Report.Term > Term || Report.PausedTerm > Term))
       return std::nullopt;
+    Others += IsLeader ? 0 : 1;
     Earliest = std::min(Earliest, Heard->second.BegunAt);
   }
-  if (Now - Earliest > LeadershipValidity)
+  if (Others == 0 || Now - Earliest > LeadershipValidity)
     return std::nullopt;
   return Earliest;
 }
--- a/packages/sessions/leadershipcheck.h
+++ b/packages/sessions/leadershipcheck.h
@@ -10,10 +10,11 @@
 /// Confirms leaderships from the databases themselves while neither the store
 /// nor another host does.
 ///
-/// A promoter that can't be sure of every host pauses the next leader and then
-/// waits one validity. So while the leader reports that it leads, and every
-/// other database of the group reports a term no later and no pause, no
-/// promotion can take effect within one validity of the earliest report.
+/// A promoter that can't be sure of every host pauses the members that it
+/// reaches and then waits one validity. So while the leader reports that it
+/// leads, and every other database of the group reports a term no later and no
+/// pause, no promotion can take effect within one validity of the earliest
+/// report.
 class LeadershipCheck {
 public:
   using Ask =
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -26,16 +26,22 @@
 /// The holder of the duty may ask for promotions this long after it began to
 /// write the duty; it is shorter than ClaimTimeout, so two holders never ask at
 /// the same time.
-constexpr Milliseconds DutyValidity{3000};
+constexpr Milliseconds DutyValidity{2000};
 /// A duty or a claim of another host that shows no change may be taken over.
-constexpr Milliseconds ClaimTimeout{3500};
+constexpr Milliseconds ClaimTimeout{2500};
+/// The same for a claim whose holder is still heard from.
+constexpr Milliseconds LiveClaimTimeout{6000};
 /// Left of the duty's validity when a promotion is begun.
-constexpr Milliseconds DutyReserve{1800};
+constexpr Milliseconds DutyReserve{1500};
 constexpr Milliseconds DutyRequestTimeout{1000};
 /// Name by which hosts are ranked for the duty.
 constexpr std::string_view DutyKey = "promotions";
 constexpr Milliseconds CallRetryInterval{150};
-constexpr Milliseconds PauseTimeout{1500};
+/// A claim that is not followed by a call within this time is made anew.
+constexpr Milliseconds WaitTimeout{5000};
+constexpr Milliseconds PauseTimeout{400};
+/// The next leader must have reported its pause within this time.
+constexpr Milliseconds PauseReportAge{400};
 constexpr Milliseconds WriteTimeout{1500};
 /// Wait for the next leader to receive the last commits of one that drains.
 constexpr Milliseconds CatchUpTimeout{1200};
@@ -44,7 +50,9 @@
 /// Typical time from a claim to the call, when all hosts follow.
 constexpr Milliseconds FollowTime{100};
 /// After it an accepted promotion that shows no effect is asked for again.
-constexpr Milliseconds VerifyTimeout{2000};
+constexpr Milliseconds VerifyTimeout{4000};
+/// Longer than any promotion takes.
+constexpr Milliseconds UnchangedDelay{1800};
 /// A leadership that is not confirmed for lack of a store.
 constexpr Milliseconds UnconfirmedRetry{1000};
 
@@ -196,7 +204,10 @@
     return;
   Milliseconds RankWait = RankDelay * rank(Now);
   if (Record->Phase == LeadershipPhase::Promoting) {
-    if (Now - Work.SeenAt < ClaimTimeout + RankWait)
+    bool Live =
+        Record->Holder != Hosts_.self() && Hosts_.isLive(Record->Holder, Now);
+    Milliseconds Timeout = Live ? LiveClaimTimeout : ClaimTimeout;
+    if (Now - Work.SeenAt < Timeout + RankWait)
       return;
     Work.OldLeader.clear();
     beginComparing(Group, Work, PromotionReason::Silent, Now);
@@ -282,6 +293,8 @@
 void PromotionSystem::beginComparing(const GroupId &Group, Effort &Work,
                                      PromotionReason Reason, TimePoint Now) {
   Work.Reason = Reason;
+  if (const LeadershipRecord *Record = Authority_.recordOf(Group))
+    Work.SeenRevision = Record->Revision;
   Work.Reports.clear();
   Work.Next.clear();
   Work.LeadingTerm = 0;
@@ -336,6 +349,9 @@
 
 std::optional<DatabaseId>
 PromotionSystem::bestCandidate(const GroupId &Group, const Effort &Work) const {
+  std::uint64_t Newest = 0;
+  for (const auto &[Id, Heard] : Work.Reports)
+    Newest = std::max(Newest, Heard.Report.Term);
   std::optional<DatabaseId> Best;
   std::optional<DatabaseId> Leading;
   for (const DatabaseView *View : Table_.membersOf(Group)) {
@@ -345,9 +361,9 @@
         Id == Work.OldLeader)
       continue;
     const DatabaseReport &Report = Found->second.Report;
-    // A promotion that was begun by another host may have taken effect.
-    if (Report.Role == DatabaseRole::Primary &&
-        (!Leading || Work.Reports.at(*Leading).Report.Term < Report.Term))
+    // A promotion that was begun by another host may have taken effect. A
+    // primary of an earlier term is a replaced one, whatever it says.
+    if (Report.Role == DatabaseRole::Primary && Report.Term == Newest)
       Leading = Id;
     if (!Best || Work.Reports.at(*Best).Report.Received < Report.Received)
       Best = Id;
@@ -363,6 +379,11 @@
   std::size_t Reported = Work.Reports.size();
   Reported -= Work.Reports.contains(Work.OldLeader) ? 1 : 0;
   bool Complete = Reported >= Expected;
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (!Record || Record->Revision != Work.SeenRevision) {
+    enter(Group, Work, PromotionStage::Watching, Now, "the record has changed");
+    return;
+  }
   if (!Complete && Now - Work.StageSince < CompareTimeout) {
     askAgain(Group, Work, AskInterval * 2, Now);
     return;
@@ -403,12 +424,30 @@
   claim(Group, Work, Now);
 }
 
+/// Term that the next leader must report before it may be used. A replaced
+/// primary that has not heard of it reports an earlier one.
+std::uint64_t PromotionSystem::termToLead(const LeadershipRecord *Record,
+                                          const Effort &Work) const {
+  bool Claimed = Record && Record->Phase == LeadershipPhase::Promoting;
+  std::uint64_t Known = Record ? Record->Term : 0;
+  const DatabaseReport &Next = Work.Reports.at(Work.Next).Report;
+  // A term has one primary only: one that reports the record's term is the
+  // leader that was claimed, or the leader under the id of a new start.
+  if (Next.Role == DatabaseRole::Primary && Next.Term >= Known)
+    return Next.Term;
+  // The term of a claim may not have begun yet.
+  std::uint64_t Begun = Claimed ? Known - 1 : Known;
+  for (const auto &[Id, Heard] : Work.Reports)
+    Begun = std::max(Begun, Heard.Report.Term);
+  return Begun + 1;
+}
+
 void PromotionSystem::claim(const GroupId &Group, Effort &Work, TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   LeadershipRecord Claim;
   Claim.Group = Group;
   Claim.Leader = Work.Next;
-  Claim.Term = Record ? Record->Term + 1 : 1;
+  Claim.Term = termToLead(Record, Work);
   Claim.Phase = LeadershipPhase::Promoting;
   Claim.Holder = Hosts_.self();
   enter(Group, Work, PromotionStage::Claiming, Now);
@@ -454,24 +493,54 @@
          Next->second.Report.Received >= Old->second.Report.Received;
 }
 
-void PromotionSystem::pauseNext(Effort &Work, TimePoint Now) {
-  if (Work.AskedAt && Now - *Work.AskedAt < AskInterval)
-    return;
-  Work.AskedAt = Now;
-  const DatabaseView *Next = Table_.find(Work.Next);
-  auto Known = Work.Reports.find(Work.Next);
-  if (!Next || Known == Work.Reports.end())
-    return;
+/// A member that leads can't be paused: what it reports already shows hosts
+/// that the old leader is not alone.
+bool PromotionSystem::isPaused(const Effort &Work, const DatabaseId &Database) {
+  auto Known = Work.Reports.find(Database);
+  if (Known == Work.Reports.end())
+    return false;
+  const DatabaseReport &Report = Known->second.Report;
+  return Report.Role == DatabaseRole::Primary ||
+         (Report.PausedTerm > 0 && Known->second.BegunAt >= Work.ClaimedAt);
+}
+
+/// Pauses all members but the old leader, so that a host sees it at whichever
+/// of them it knows. Returns true once that is done as far as it can be.
+bool PromotionSystem::pauseMembers(const GroupId &Group, Effort &Work,
+                                   TimePoint Now) {
+  std::uint64_t Highest = 0;
+  for (const auto &[Id, Heard] : Work.Reports)
+    Highest = std::max(Highest, Heard.Report.Term);
   DatabaseCommand Pause;
   Pause.Verb = CommandVerb::Pause;
-  Pause.Term = Known->second.Report.Term + 1;
-  Functions_.Ask(Next->Listing, Pause);
+  Pause.Term = Highest + 1;
+  DatabaseCommand Status;
+  Status.Verb = CommandVerb::Status;
+  bool Asks = !Work.AskedAt || Now - *Work.AskedAt >= AskInterval;
+  bool All = true;
+  for (const DatabaseView *View : Table_.membersOf(Group)) {
+    if (View->Listing.Id == Work.OldLeader || isPaused(Work, View->Listing.Id))
+      continue;
+    All = false;
+    if (!Asks)
+      continue;
+    // A member that an earlier claim has paused refuses another pause.
+    auto Known = Work.Reports.find(View->Listing.Id);
+    bool Unpaused = Known != Work.Reports.end() &&
+                    Known->second.BegunAt >= Work.ClaimedAt &&
+                    Known->second.Report.PausedTerm == 0;
+    Functions_.Ask(View->Listing, Unpaused ? Pause : Status);
+  }
+  if (Asks)
+    Work.AskedAt = Now;
+  bool Tried = Now - Work.ClaimedAt >= FollowTimeout + PauseTimeout;
+  return All || (Tried && isPaused(Work, Work.Next));
 }
 
 /// A host may use the old leader until it goes by the claim, or until its last
 /// confirmation lapses. If all hosts go by the claim, nothing is waited for.
-/// Otherwise one validity passes, counted from the pause of the next leader as
-/// well: hosts without the store go by what the databases report.
+/// Otherwise one validity passes, counted from the pause of the other members
+/// as well: hosts without the store go by what the databases report.
 void PromotionSystem::waitForLapse(const GroupId &Group, Effort &Work,
                                    TimePoint Now) {
   if (Now - Work.StageSince < CallRetryInterval && Work.Called)
@@ -491,20 +560,39 @@
   }
   if (Now - Work.ClaimedAt < FollowTimeout)
     return;
-  auto Next = Work.Reports.find(Work.Next);
-  bool Paused = Next != Work.Reports.end() &&
-                Next->second.Report.PausedTerm > 0 &&
-                Next->second.BegunAt >= Work.ClaimedAt;
-  if (!Paused) {
-    pauseNext(Work, Now);
-    if (Now - Work.ClaimedAt > PauseTimeout)
-      beginComparing(Group, Work, Work.Reason, Now);
+  if (Now - Work.ClaimedAt > WaitTimeout) {
+    beginComparing(Group, Work, Work.Reason, Now);
     return;
   }
-  if (!Work.PausedAt)
+  if (!Work.PausedAt && !pauseMembers(Group, Work, Now))
+    return;
+  if (!Work.PausedAt) {
     Work.PausedAt = Now;
-  if (Now - *Work.PausedAt >= LeadershipValidity)
+    return;
+  }
+  // A member that restarts forgets its pause.
+  if (hasUnpausedMember(Group, Work)) {
+    Work.PausedAt.reset();
+    return;
+  }
+  bool Fresh = Work.Reports.at(Work.Next).BegunAt >= Now - PauseReportAge;
+  if (Fresh && Now - *Work.PausedAt >= LeadershipValidity) {
     promote(Group, Work, Now);
+    return;
+  }
+  askAgain(Group, Work, AskInterval * 2, Now);
+}
+
+bool PromotionSystem::hasUnpausedMember(const GroupId &Group,
+                                        const Effort &Work) const {
+  for (const DatabaseView *View : Table_.membersOf(Group)) {
+    auto Known = Work.Reports.find(View->Listing.Id);
+    if (View->Listing.Id != Work.OldLeader && Known != Work.Reports.end() &&
+        Known->second.BegunAt >= *Work.PausedAt &&
+        !isPaused(Work, View->Listing.Id))
+      return true;
+  }
+  return false;
 }
 
 /// Takes back pauses of earlier attempts.
@@ -544,6 +632,7 @@
   switch (Outcome) {
   case PromotionOutcome::Accepted:
   case PromotionOutcome::Unknown:
+    Work.Accepted = Outcome == PromotionOutcome::Accepted;
     Work.Reports.erase(Work.Next);
     enter(Group, Work, PromotionStage::Verifying, Now);
     return;
@@ -557,16 +646,29 @@
   }
 }
 
+/// True when the next leader leads. One that leads the newest term long after
+/// the platform accepted the call was the primary all the while, and the call
+/// has changed nothing.
+bool PromotionSystem::leads(const GroupId &Group, const Effort &Work,
+                            TimePoint Now) const {
+  auto Heard = Work.Reports.find(Work.Next);
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (!Record || Heard == Work.Reports.end() ||
+      Heard->second.Report.Role != DatabaseRole::Primary)
+    return false;
+  std::uint64_t Term = Heard->second.Report.Term;
+  if (Term >= Record->Term)
+    return true;
+  bool Newest = std::all_of(
+      Work.Reports.begin(), Work.Reports.end(),
+      [&](const auto &Entry) { return Entry.second.Report.Term <= Term; });
+  return Newest && Work.Accepted && Now - Work.StageSince > UnchangedDelay;
+}
+
 void PromotionSystem::verify(const GroupId &Group, Effort &Work,
                              TimePoint Now) {
-  std::uint64_t HighestTerm = 0;
-  for (const auto &[Id, Heard] : Work.Reports)
-    HighestTerm = std::max(HighestTerm, Heard.Report.Term);
-  auto Report = Work.Reports.find(Work.Next);
-  if (Report != Work.Reports.end() &&
-      Report->second.Report.Role == DatabaseRole::Primary &&
-      Report->second.Report.Term >= HighestTerm) {
-    Work.LeadingTerm = Report->second.Report.Term;
+  if (leads(Group, Work, Now)) {
+    Work.LeadingTerm = Work.Reports.at(Work.Next).Report.Term;
     settle(Group, Work, Now);
     return;
   }
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -135,7 +135,9 @@
     std::optional<TimePoint> FollowedAt;
     /// The platform was asked under this claim.
     bool Called = false;
-    /// When the next leader reported that it is paused.
+    /// The platform has answered that it promotes.
+    bool Accepted = false;
+    /// When the other members had reported that they are paused.
     std::optional<TimePoint> PausedAt;
     std::optional<TimePoint> AskedAt;
     std::map<DatabaseId, Candidate> Reports;
@@ -159,10 +161,15 @@
   std::optional<DatabaseId> bestCandidate(const GroupId &Group,
                                           const Effort &Work) const;
   bool hasEnoughReports(const GroupId &Group, const Effort &Work) const;
+  std::uint64_t termToLead(const LeadershipRecord *Record,
+                           const Effort &Work) const;
+  bool leads(const GroupId &Group, const Effort &Work, TimePoint Now) const;
   void claim(const GroupId &Group, Effort &Work, TimePoint Now);
   void waitForLapse(const GroupId &Group, Effort &Work, TimePoint Now);
   bool isCaughtUp(const Effort &Work, TimePoint Stopped) const;
-  void pauseNext(Effort &Work, TimePoint Now);
+  static bool isPaused(const Effort &Work, const DatabaseId &Database);
+  bool pauseMembers(const GroupId &Group, Effort &Work, TimePoint Now);
+  bool hasUnpausedMember(const GroupId &Group, const Effort &Work) const;
   void resumeOthers(const GroupId &Group, const Effort &Work);
   void promote(const GroupId &Group, Effort &Work, TimePoint Now);
   void verify(const GroupId &Group, Effort &Work, TimePoint Now);
--- a/tests/sessions/databasepooltest.cpp
+++ b/tests/sessions/databasepooltest.cpp
@@ -51,13 +51,18 @@
   // A statement must never run with another session's values.
   void matchesTheValuesOfASession() {
     bool Holds = rc::check("the connection has exactly the values", [] {
-      auto Names = rc::gen::map(rc::gen::inRange(0, 4),
-                                [](int N) { return "v" + std::to_string(N); });
-      auto Values = rc::gen::container<SessionValues>(Names, Names);
+      // Each of a few names has no value or one of two.
+      auto makeValues = [] {
+        SessionValues Values;
+        for (const char *Name : {"v1", "v2", "v3", "v4"})
+          if (int Value = *rc::gen::inRange(0, 3))
+            Values[Name] = std::to_string(Value);
+        return Values;
+      };
       ConnectionProfile Profile;
-      Profile.Values = *Values;
+      Profile.Values = makeValues();
       Profile.Uncertain = *rc::gen::arbitrary<bool>();
-      SessionValues Wanted = *Values;
+      SessionValues Wanted = makeValues();
       PreparedShape Shape{StatementKind::Read, "q1"};
       apply(Profile, commandsToMatch(Profile, Wanted, &Shape));
       RC_ASSERT(Profile.Values == Wanted);
--- /dev/null
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -0,0 +1,249 @@
+#include "sessions/promotionsystem.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <utility>
+
+namespace nutmegloom {
+
+/// One host's promotions against scripted reports of the databases.
+class PromotionSystemTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PromotionSystemTest);
+  CPPUNIT_TEST(choosesTheMostAdvancedReplica);
+  CPPUNIT_TEST(doesNotTrustAReplacedPrimary);
+  CPPUNIT_TEST(adoptsAPrimaryThatStartedUnderAnotherId);
+  CPPUNIT_TEST(waitsUntilTheNextLeaderReportsANewerTerm);
+  CPPUNIT_TEST(waitsForASynchronousReplica);
+  CPPUNIT_TEST(takesOverAClaimWithoutAskingForALaterTerm);
+  CPPUNIT_TEST(leavesARecordThatWasSettledMeanwhile);
+  CPPUNIT_TEST(renewsItsDutyWithTheSameToken);
+  CPPUNIT_TEST(leavesTheDutyToAnActiveHolder);
+  CPPUNIT_TEST_SUITE_END();
+
+  TimePoint Now_{std::chrono::hours(1)};
+  DatabaseTable Table_{[](const ZoneName &) { return Distance::SameZone; }};
+  HostTable Hosts_{"self", 7};
+  LeaderAuthority Authority_;
+  std::vector<LeadershipRecord> Written_;
+  std::vector<PromotionDuty> Duties_;
+  std::vector<std::pair<DatabaseId, std::uint64_t>> Promoted_;
+  std::map<DatabaseId, DatabaseReport> Reports_;
+  std::uint64_t Revision_ = 100;
+  PromotionSystem System_{Table_, Hosts_, Authority_, hooks()};
+
+  PromotionSystem::Hooks hooks() {
+    PromotionSystem::Hooks Hooks;
+    Hooks.Write = [this](const LeadershipRecord &Record, std::uint64_t) {
+      Written_.push_back(Record);
+    };
+    Hooks.WriteDuty = [this](const PromotionDuty &Duty, std::uint64_t) {
+      Duties_.push_back(Duty);
+    };
+    Hooks.ListHosts = [this] { Hosts_.applyListed({{"self", "x"}}, Now_); };
+    Hooks.Promote = [this](const GroupId &, const DatabaseId &Id,
+                           std::uint64_t Token) {
+      Promoted_.emplace_back(Id, Token);
+    };
+    Hooks.Ask = [](const DatabaseListing &, const DatabaseCommand &) {};
+    Hooks.Report = [](const PromotionReport &) {};
+    return Hooks;
+  }
+
+  void list(const std::vector<DatabaseId> &Ids) {
+    std::vector<DatabaseListing> All;
+    for (const DatabaseId &Id : Ids) {
+      DatabaseListing Listing;
+      Listing.Id = Id;
+      Listing.Group = "g";
+      Listing.Role = DatabaseRole::Replica;
+      All.push_back(Listing);
+    }
+    Table_.apply(All);
+  }
+
+  void report(const DatabaseId &Id, DatabaseRole Role, std::uint64_t Term,
+              std::uint64_t Index, std::uint64_t Paused = 0) {
+    DatabaseReport Made;
+    Made.Role = Role;
+    Made.Term = Term;
+    Made.Received = {Term, Index};
+    Made.PausedTerm = Paused;
+    Reports_[Id] = Made;
+  }
+
+  /// Lets time pass with a fresh record, answering writes and reports.
+  void run(Milliseconds Span) {
+    for (TimePoint End = Now_ + Span; Now_ < End; Now_ += Milliseconds{50}) {
+      if (const LeadershipRecord *Known = Authority_.recordOf("g"))
+        Authority_.confirm(LeadershipRecord(*Known), Now_);
+      System_.tick(Now_);
+      for (const auto &[Id, Report] : Reports_)
+        System_.onReport(Id, Report, Now_, Now_);
+      if (!Duties_.empty() && !std::exchange(DutyAnswered_, true)) {
+        PromotionDuty Current = Duties_.back();
+        Current.Revision = ++Revision_;
+        System_.onDutyWritten(WriteOutcome::Written, Current, Now_);
+      }
+      if (Answered_ < Written_.size()) {
+        LeadershipRecord Current = Written_[Answered_++];
+        Current.Revision = ++Revision_;
+        System_.onWritten("g", WriteOutcome::Written, Current, Now_);
+      }
+      if (Called_ < Promoted_.size()) {
+        ++Called_;
+        System_.onPromoted("g", PromotionOutcome::Accepted, Now_);
+      }
+    }
+  }
+
+  bool DutyAnswered_ = false;
+  std::size_t Answered_ = 0;
+  std::size_t Called_ = 0;
+
+  void lead(const DatabaseId &Leader, std::uint64_t Term) {
+    LeadershipRecord Record;
+    Record.Group = "g";
+    Record.Leader = Leader;
+    Record.Term = Term;
+    Record.Revision = 1;
+    Authority_.confirm(Record, Now_);
+    System_.onRecordsListed(Now_);
+    System_.setListTrustedSince(Now_ - std::chrono::seconds(10));
+  }
+
+  void choosesTheMostAdvancedReplica() {
+    list({"b", "c"});
+    lead("a", 3);
+    report("b", DatabaseRole::Replica, 3, 10);
+    report("c", DatabaseRole::Replica, 3, 12);
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
+
+  // The primary of term 3 was cut off while term 4 began: its log is longer but
+  // lost the succession.
+  void doesNotTrustAReplacedPrimary() {
+    list({"a", "b"});
+    lead("c", 4);
+    report("a", DatabaseRole::Primary, 3, 500);
+    report("b", DatabaseRole::Replica, 4, 40);
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Promoted_.front().first);
+  }
+
+  // Waiting for a pause that a primary never reports kept the group without a
+  // leader.
+  void adoptsAPrimaryThatStartedUnderAnotherId() {
+    Hosts_.applyListed({{"self", "x"}, {"gone", "y"}}, Now_);
+    list({"a2", "b", "c"});
+    lead("a", 3);
+    report("a2", DatabaseRole::Primary, 3, 12);
+    report("b", DatabaseRole::Replica, 3, 12, 4);
+    report("c", DatabaseRole::Replica, 3, 12, 4);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(System_.stageOf("g") == PromotionStage::Watching);
+    const LeadershipRecord *Record = Authority_.recordOf("g");
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("a2"), Record->Leader);
+    CPPUNIT_ASSERT(Record->Phase == LeadershipPhase::Settled);
+  }
+
+  void waitsUntilTheNextLeaderReportsANewerTerm() {
+    list({"b"});
+    lead("a", 3);
+    report("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{800});
+    CPPUNIT_ASSERT(System_.stageOf("g") == PromotionStage::Verifying);
+    report("b", DatabaseRole::Primary, 4, 10);
+    run(Milliseconds{200});
+    CPPUNIT_ASSERT(Authority_.recordOf("g")->Phase == LeadershipPhase::Settled);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Authority_.recordOf("g")->Term);
+  }
+
+  // Without a report of both replicas, the one that holds the last
+  // acknowledged commit may be missed.
+  void waitsForASynchronousReplica() {
+    list({"b", "c"});
+    System_.setSynchronousReplicas("g", 1);
+    lead("a", 3);
+    report("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(Promoted_.empty());
+    report("c", DatabaseRole::Replica, 3, 11);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
+
+  // The first holder died before its call, so its term never began.
+  void takesOverAClaimWithoutAskingForALaterTerm() {
+    list({"b"});
+    lead("a", 3);
+    LeadershipRecord Claim;
+    Claim.Group = "g";
+    Claim.Leader = "b";
+    Claim.Term = 4;
+    Claim.Phase = LeadershipPhase::Promoting;
+    Claim.Revision = 2;
+    Authority_.confirm(Claim, Now_);
+    report("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{4000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    report("b", DatabaseRole::Primary, 4, 10);
+    run(Milliseconds{300});
+    CPPUNIT_ASSERT(Authority_.recordOf("g")->Phase == LeadershipPhase::Settled);
+  }
+
+  // A host that waited for the duty promoted a leader a second time.
+  void leavesARecordThatWasSettledMeanwhile() {
+    list({"a", "b"});
+    lead("a", 3);
+    LeadershipRecord Record;
+    Record.Group = "g";
+    Record.Leader = "b";
+    Record.Term = 4;
+    Record.Phase = LeadershipPhase::Promoting;
+    Record.Revision = 2;
+    Authority_.confirm(Record, Now_);
+    report("a", DatabaseRole::Replica, 3, 10);
+    report("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{1500});
+    System_.onDuty({"other", 1, 4, 50}, Now_);
+    run(Milliseconds{1500});
+    CPPUNIT_ASSERT(System_.stageOf("g") == PromotionStage::Comparing);
+    Record.Phase = LeadershipPhase::Settled;
+    Record.Revision = 3;
+    Authority_.confirm(Record, Now_);
+    run(Milliseconds{4000});
+    CPPUNIT_ASSERT(Written_.empty());
+    CPPUNIT_ASSERT(Promoted_.empty());
+  }
+
+  void renewsItsDutyWithTheSameToken() {
+    PromotionDuty Own{"self", 7, 9, 50};
+    System_.onDuty(Own, Now_);
+    list({"b"});
+    lead("a", 3);
+    report("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), Promoted_.front().second);
+  }
+
+  void leavesTheDutyToAnActiveHolder() {
+    list({"b"});
+    lead("a", 3);
+    report("b", DatabaseRole::Replica, 3, 10);
+    System_.onDuty({"other", 1, 4, 50}, Now_);
+    run(Milliseconds{2000});
+    CPPUNIT_ASSERT(Duties_.empty());
+    run(Milliseconds{4000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Promoted_.front().second);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromotionSystemTest);
+
+} // namespace nutmegloom
--- a/tests/sessions/randomfaultstest.cpp
+++ b/tests/sessions/randomfaultstest.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+#include <iostream>
+
 namespace nutmegloom {
 
 /// Series of overlapping faults from fixed seeds; every promise is checked
@@ -13,8 +16,11 @@
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t FirstSeed = 1;
-  static constexpr std::uint32_t LastSeed = 60;
+  static constexpr std::uint32_t LastSeed = 80;
   static constexpr std::size_t HostCount = 4;
+  /// Seeds that failed once and lie beyond the others. 186: a member restarted
+  /// between its pause and the promotion, and forgot the pause.
+  static constexpr std::array<std::uint32_t, 1> FailedSeeds{186};
 
   using Random = std::mt19937;
 
@@ -26,13 +32,41 @@
     return std::string(1, static_cast<char>('a' + pick(From, 0, 2)));
   }
 
+  /// One host is left alone with the leader, out of reach of the store and of
+  /// the other hosts, which promote another database.
+  static void isolate(Simulation &Sim, std::size_t Host, DatabaseId Leader,
+                      bool FromReplicas, Milliseconds Span) {
+    auto set = [&Sim, Host, Leader, FromReplicas](bool Cut) {
+      Sim.cutHostFromStore(Host, Cut);
+      for (std::size_t Other = 0; Other < HostCount; ++Other) {
+        if (Other == Host)
+          continue;
+        Sim.cutHosts(Host, Other, Cut);
+        Sim.cutHostFromDatabase(Other, Leader, Cut);
+      }
+      for (const char *Replica : {"a", "b", "c"}) {
+        if (Replica == Leader)
+          continue;
+        Sim.cutReplication(Leader, Replica, Cut);
+        if (FromReplicas)
+          Sim.cutHostFromDatabase(Host, Replica, Cut);
+      }
+    };
+    set(true);
+    Sim.after(Span, [set] { set(false); });
+  }
+
   static void injectFault(Simulation &Sim, Random &From) {
     auto Host = static_cast<std::size_t>(pick(From, 0, HostCount - 1));
     auto Other = (Host + 1) % HostCount;
     DatabaseId Id = pickDatabase(From);
     DatabaseId Leader = Sim.leader();
     Milliseconds Span{pick(From, 200, 4000)};
-    switch (pick(From, 0, 10)) {
+    int Kind = pick(From, 0, 12);
+    Sim.note("fault " + std::to_string(Kind) + " host-" + std::to_string(Host) +
+             " database " + Id + " leader " + Leader + " for " +
+             std::to_string(Span.count()));
+    switch (Kind) {
     case 0:
       Sim.cutHostFromDatabase(Host, Leader, true);
       Sim.after(Span, [&Sim, Host, Leader] {
@@ -91,6 +125,12 @@
         Sim.setLostWrites(0);
       });
       break;
+    case 11:
+      isolate(Sim, Host, Leader, /*FromReplicas=*/true, Span * 2);
+      break;
+    case 12:
+      isolate(Sim, Host, Leader, /*FromReplicas=*/false, Span * 2);
+      break;
     }
   }
 
@@ -110,9 +150,15 @@
   void keepsAllPromises() {
     std::size_t Promotions = 0;
     std::size_t Writes = 0;
-    for (std::uint32_t Seed = FirstSeed; Seed <= LastSeed; ++Seed) {
+    std::vector<std::uint32_t> Seeds(FailedSeeds.begin(), FailedSeeds.end());
+    for (std::uint32_t Seed = FirstSeed; Seed <= LastSeed; ++Seed)
+      Seeds.push_back(Seed);
+    for (std::uint32_t Seed : Seeds) {
       auto Sim = played(Seed);
       std::vector<std::string> Broken = Sim->violations();
+      if (!Broken.empty())
+        for (const std::string &Line : Sim->trace())
+          std::cerr << Line << "\n";
       CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ": " +
                                  (Broken.empty() ? "" : Broken.front()),
                              Broken.empty());
@@ -125,7 +171,7 @@
   }
 
   void servesAgainOnceFaultsEnd() {
-    for (std::uint32_t Seed = FirstSeed; Seed <= 12; ++Seed) {
+    for (std::uint32_t Seed = FirstSeed; Seed <= FirstSeed + 11; ++Seed) {
       auto Sim = played(Seed);
       for (std::size_t Host = 0; Host < HostCount; ++Host) {
         CallerSessionId Id = Sim->open(Host, "primary");
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -23,21 +23,25 @@
 struct Simulation::Database {
   DatabaseListing Listing;
   std::uint64_t Term = 3;
-  std::vector<CommitNumber> Log;
+  std::uint64_t Size = 0;
   TermHistory Terms{{3, 0}};
   std::uint64_t PausedTerm = 0;
   bool Up = true;
   std::uint64_t Life = 1;
   Milliseconds Lag{8};
 
-  Position position() const { return {Term, Log.size()}; }
-  bool holds(Position Wanted) const {
-    if (Wanted.Term > Term || Wanted.Index > Log.size())
-      return false;
+  Position position() const { return {Term, Size}; }
+  /// Greatest index of a term's entries that the log holds.
+  std::uint64_t heldOf(std::uint64_t Wanted) const {
+    if (Wanted > Term)
+      return 0;
     for (const TermStart &Entry : Terms)
-      if (Entry.Term > Wanted.Term)
-        return Wanted.Index <= Entry.Start;
-    return true;
+      if (Entry.Term > Wanted)
+        return std::min(Entry.Start, Size);
+    return Size;
+  }
+  bool holds(Position Wanted) const {
+    return Wanted.Term <= Term && Wanted.Index <= heldOf(Wanted.Term);
   }
 };
 
@@ -178,7 +182,11 @@
                                        const DatabaseCommand &Command) {
     askDatabase(Index, Listing, Command);
   };
-  Hooks.Promotions.Report = [](const PromotionReport &) {};
+  Hooks.Promotions.Report = [this, Index](const PromotionReport &Report) {
+    note(Hosts_[Index]->Name + " " + std::string(nameOf(Report.Stage)) + " " +
+         std::string(nameOf(Report.Reason)) + " " + Report.Candidate + " " +
+         std::string(Report.Detail));
+  };
   Hooks.Promotions.ListHosts = [this, Index] {
     TimePoint BegunAt = Now_;
     storeCall(
@@ -445,9 +453,9 @@
       On.State = SessionState::Failed;
   };
   auto make = [&] {
-    At.Log.push_back(++LastCommit_);
+    ++At.Size;
     replicate(On.Database);
-    return LastCommit_;
+    return At.position();
   };
   switch (Command.Verb) {
   case CommandVerb::SetValue:
@@ -495,29 +503,24 @@
     } else if (IsWrite && InTransaction) {
       ++On.Writes;
     } else if (IsWrite || (IsCommit && On.Writes > 0)) {
-      CommitNumber Made = make();
+      Position Made = make();
       if (Waiting != Pending_.end()) {
         Waiting->second.Commit = Made;
-        Waiting->second.Late = On.Database != Authoritative_;
+        Waiting->second.AfterPromotion = On.Database != Authoritative_;
         Waiting->second.Database = On.Database;
       }
     } else if (!IsCommit && Waiting != Pending_.end() && !InTransaction) {
       Pending &Asked = Waiting->second;
-      Read Seen;
-      Seen.Database = On.Database;
-      std::set<CommitNumber> Held(At.Log.begin(), At.Log.end());
       Milliseconds Age{0};
       if (Asked.Route == "bounded")
         Age = BoundedAge;
       if (Asked.Route == "own")
         Age = ReadYourWritesAge;
-      for (const Ack &Known : Acknowledged_) {
-        bool Own = Asked.Route == "own" && Known.Session == Waiting->first;
-        bool Bound = Known.At < Asked.SentAt - Age;
-        if ((Bound || Own) && !Held.contains(Known.Number))
-          Seen.Missing.push_back(Known.Number);
-      }
-      Asked.Seen = Seen;
+      std::optional<Position> Own;
+      if (Asked.Route == "own" && OwnWrites_.contains(Waiting->first))
+        Own = OwnWrites_[Waiting->first];
+      Asked.HasRead = true;
+      Asked.Lacked = lackedBy(At, Asked.SentAt - Age, Own);
     }
     if (IsCommit && Answer.Code == StatementCode::Done) {
       On.State = SessionState::Idle;
@@ -533,6 +536,27 @@
   return Answer;
 }
 
+std::vector<Simulation::Missing>
+Simulation::lackedBy(const Database &At, TimePoint Before,
+                     const std::optional<Position> &Own) const {
+  std::vector<Missing> Lacked;
+  auto note = [&](std::uint64_t Term, std::uint64_t Needed) {
+    std::uint64_t Held = At.heldOf(Term);
+    if (Held < Needed)
+      Lacked.push_back({At.Listing.Id, Term, Held, Needed});
+  };
+  for (const auto &[Term, Acks] : Acknowledged_) {
+    auto End = std::lower_bound(
+        Acks.begin(), Acks.end(), Before,
+        [](const Ack &Known, TimePoint Time) { return Known.At < Time; });
+    if (End != Acks.begin())
+      note(Term, std::prev(End)->Greatest);
+  }
+  if (Own)
+    note(Own->Term, Own->Index);
+  return Lacked;
+}
+
 void Simulation::askDatabase(std::size_t Index, const DatabaseListing &Listing,
                              const DatabaseCommand &Command) {
   TimePoint BegunAt = Now_;
@@ -552,8 +576,14 @@
       unanswered();
       return;
     }
-    if (Command.Verb == CommandVerb::Pause && Command.Term > At.Term)
+    if (Command.Verb == CommandVerb::Pause) {
+      // The term must be above the newest one that the database knows.
+      if (Command.Term <= std::max(At.Term, At.PausedTerm)) {
+        unanswered();
+        return;
+      }
       At.PausedTerm = Command.Term;
+    }
     if (Command.Verb == CommandVerb::Resume)
       At.PausedTerm = 0;
     DatabaseReport Report;
@@ -574,19 +604,18 @@
     if (Id == From)
       continue;
     std::uint64_t Term = Source.Term;
-    std::vector<CommitNumber> Log = Source.Log;
+    std::uint64_t Size = Source.Size;
     TermHistory Terms = Source.Terms;
-    after(Target->Lag, [this, From, Id = Id, Term, Log, Terms] {
+    after(Target->Lag, [this, From, Id = Id, Term, Size, Terms] {
       Database &To = database(Id);
       bool Reached = To.Up && database(From).Up &&
                      !ReplicationCuts_.contains(std::minmax(From, Id));
       bool Leads = To.Listing.Role == DatabaseRole::Primary;
-      bool Older =
-          To.Term > Term || (To.Term == Term && To.Log.size() > Log.size());
+      bool Older = To.Term > Term || (To.Term == Term && To.Size > Size);
       if (!Reached || Leads || Older || To.PausedTerm > 0)
         return;
       To.Term = Term;
-      To.Log = Log;
+      To.Size = Size;
       To.Terms = Terms;
     });
   }
@@ -619,8 +648,14 @@
       return;
     DatabaseId Old = Authoritative_;
     Authoritative_ = Id;
+    note(Id + " leads instead of " + Old);
     ++Promotions_;
-    Next.Terms.push_back({++Term_, Next.Log.size()});
+    for (const auto &[Term, Acks] : Acknowledged_) {
+      std::uint64_t Kept = Next.heldOf(Term);
+      auto [Entry, Inserted] = Kept_.try_emplace(Term, Kept);
+      Entry->second = std::min(Entry->second, Kept);
+    }
+    Next.Terms.push_back({++Term_, Next.Size});
     Next.Term = Term_;
     Next.PausedTerm = 0;
     Next.Listing.Role = DatabaseRole::Primary;
@@ -696,11 +731,23 @@
   Pending Asked = std::move(Found->second);
   Pending_.erase(Found);
   bool Done = Answer.Code == StatementCode::Done;
-  if (Done && Asked.Commit)
-    Acknowledged_.push_back(
-        {*Asked.Commit, Now_, Asked.Database, Session, Asked.Late});
-  if (Done && Asked.Seen)
-    Reads_.push_back(*Asked.Seen);
+  if (Done && Asked.Commit) {
+    std::vector<Ack> &Acks = Acknowledged_[Asked.Commit->Term];
+    std::uint64_t Index = Asked.Commit->Index;
+    std::uint64_t Before = Acks.empty() ? 0 : Acks.back().Greatest;
+    Acks.push_back({Now_, Index, std::max(Before, Index)});
+    OwnWrites_[Session] = *Asked.Commit;
+    ++Writes_;
+    if (Asked.AfterPromotion)
+      note("acknowledged late, session " + std::to_string(Session));
+    if (Asked.AfterPromotion)
+      Violations_.push_back("a write was acknowledged at " + Asked.Database +
+                            " after another database was promoted");
+  }
+  if (Done && Asked.HasRead) {
+    ++Reads_;
+    Lacked_.insert(Lacked_.end(), Asked.Lacked.begin(), Asked.Lacked.end());
+  }
   bool Promises = Answer.Code == StatementCode::Busy ||
                   Answer.Code == StatementCode::Aborted ||
                   Answer.Code == StatementCode::ReadOnly ||
@@ -756,20 +803,34 @@
 
 std::vector<std::string> Simulation::violations() const {
   std::vector<std::string> All = Violations_;
-  const Database &Final = *Databases_.at(Authoritative_);
-  std::set<CommitNumber> Kept(Final.Log.begin(), Final.Log.end());
-  for (const Ack &Known : Acknowledged_)
-    if (Known.AfterPromotion)
-      All.push_back("a write was acknowledged at " + Known.Database +
-                    " after another database was promoted");
-  for (const Read &Seen : Reads_)
-    for (CommitNumber Number : Seen.Missing)
-      if (Kept.contains(Number))
-        All.push_back("a read at " + Seen.Database + " lacked commit " +
-                      std::to_string(Number));
+  // A commit that a promotion rolled back need not be seen.
+  for (const Missing &Lack : Lacked_) {
+    auto Limit = Kept_.find(Lack.Term);
+    std::uint64_t Needed = Limit == Kept_.end()
+                               ? Lack.Needed
+                               : std::min(Lack.Needed, Limit->second);
+    auto Acks = Acknowledged_.find(Lack.Term);
+    bool Kept =
+        Acks != Acknowledged_.end() &&
+        std::any_of(Acks->second.begin(), Acks->second.end(),
+                    [&](const Ack &Known) {
+                      return Known.Index > Lack.Held && Known.Index <= Needed;
+                    });
+    if (Kept)
+      All.push_back("a read at " + Lack.Database + " lacked commits of term " +
+                    std::to_string(Lack.Term) + " after " +
+                    std::to_string(Lack.Held));
+  }
   return All;
 }
 
+void Simulation::note(const std::string &Line) {
+  auto Since = Now_ - TimePoint(std::chrono::hours(1));
+  Trace_.push_back(
+      std::to_string(std::chrono::floor<Milliseconds>(Since).count()) + " " +
+      Line);
+}
+
 DatabaseId Simulation::leader() const { return Authoritative_; }
 
 SessionEngine &Simulation::engine(std::size_t Index) {
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -10,9 +10,6 @@
 
 namespace nutmegloom {
 
-/// A commit of a caller, by the order in which databases made commits.
-using CommitNumber = std::uint64_t;
-
 /// Hosts, databases of one group, the store and the promotion call in one
 /// process, on a clock of its own. Faults are set on links and parts; what
 /// callers were told is checked against what the databases did.
@@ -57,11 +54,14 @@
   void startCallers(std::size_t PerHost, Milliseconds Span);
 
   // What was seen.
-  std::size_t acknowledgedWrites() const { return Acknowledged_.size(); }
-  std::size_t answeredReads() const { return Reads_.size(); }
+  std::size_t acknowledgedWrites() const { return Writes_; }
+  std::size_t answeredReads() const { return Reads_; }
   std::size_t promotions() const { return Promotions_; }
   /// Broken promises, one line each; empty when all were kept.
   std::vector<std::string> violations() const;
+  /// What happened, one line each, with the time since the start.
+  const std::vector<std::string> &trace() const { return Trace_; }
+  void note(const std::string &Line);
   DatabaseId leader() const;
   SessionEngine &engine(std::size_t Host);
   /// Statements that a database ran, with their session values.
@@ -78,28 +78,32 @@
   struct Database;
   struct Link;
   struct Host;
-  struct Read {
+  /// Commits of one term that a read had to see and that its log lacked:
+  /// those with an index above Held and up to Needed.
+  struct Missing {
     DatabaseId Database;
-    ConsistencyMode Mode = ConsistencyMode::Primary;
-    /// Commits that it had to see and that its log lacked.
-    std::vector<CommitNumber> Missing;
+    std::uint64_t Term = 0;
+    std::uint64_t Held = 0;
+    std::uint64_t Needed = 0;
   };
+  /// A commit that was acknowledged. Greatest is the greatest index of its term
+  /// that had been acknowledged by then.
   struct Ack {
-    CommitNumber Number = 0;
     TimePoint At;
-    DatabaseId Database;
-    CallerSessionId Session = 0;
-    /// It was made after another database had been promoted.
-    bool AfterPromotion = false;
+    std::uint64_t Index = 0;
+    std::uint64_t Greatest = 0;
   };
   struct Pending {
     TimePoint SentAt;
     StatementVerb Verb = StatementVerb::Read;
     std::string Text;
     std::string Route;
-    std::optional<CommitNumber> Commit;
-    std::optional<Read> Seen;
-    bool Late = false;
+    /// Position of the commit that it made.
+    std::optional<Position> Commit;
+    /// The commit was made after another database had been promoted.
+    bool AfterPromotion = false;
+    bool HasRead = false;
+    std::vector<Missing> Lacked;
     DatabaseId Database;
   };
 
@@ -125,6 +129,10 @@
                    const DatabaseCommand &Command);
   void promote(std::size_t Index, const GroupId &Group, const DatabaseId &Id,
                std::uint64_t Token);
+  /// What the database's log lacks of the commits acknowledged before the
+  /// given moment, and of the session's own.
+  std::vector<Missing> lackedBy(const Database &At, TimePoint Before,
+                                const std::optional<Position> &Own) const;
   void replicate(const DatabaseId &From);
   void followLater(const DatabaseId &Old, const DatabaseId &Next);
   void noteAnswer(CallerSessionId Session, const StatementAnswer &Answer);
@@ -141,7 +149,6 @@
   std::map<DatabaseId, std::unique_ptr<Database>> Databases_;
   DatabaseId Authoritative_;
   std::uint64_t Term_ = 3;
-  CommitNumber LastCommit_ = 0;
 
   // The store.
   std::map<GroupId, LeadershipRecord> Records_;
@@ -164,9 +171,17 @@
   std::map<CallerSessionId, Pending> Pending_;
   std::map<CallerSessionId, StatementAnswer> Answers_;
   std::map<CallerSessionId, std::string> Routes_;
-  std::vector<Ack> Acknowledged_;
-  std::vector<Read> Reads_;
+  /// Acknowledged commits by term, in the order of time.
+  std::map<std::uint64_t, std::vector<Ack>> Acknowledged_;
+  /// Latest acknowledged commit of each session.
+  std::map<CallerSessionId, Position> OwnWrites_;
+  std::vector<Missing> Lacked_;
+  /// Greatest index of each term that every promotion since has kept.
+  std::map<std::uint64_t, std::uint64_t> Kept_;
+  std::size_t Writes_ = 0;
+  std::size_t Reads_ = 0;
   std::vector<std::string> Violations_;
+  std::vector<std::string> Trace_;
   std::vector<Execution> Executions_;
   std::size_t Promotions_ = 0;
 };
