--- a/packages/protocol/hostobservation.capnp
+++ b/packages/protocol/hostobservation.capnp
@@ -21,6 +21,7 @@
   dutyToken @12 :UInt64;
   dutyRevision @13 :UInt64;
   reachesStore @14 :Bool = true;
+  region @15 :Text;
 
   struct Group {
     group @0 :Text;
--- a/packages/protocol/hostobservation.capnp.h
+++ b/packages/protocol/hostobservation.capnp.h
@@ -34,7 +34,7 @@
   struct Group;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 10, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 10, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -109,6 +109,9 @@
 
   inline bool getReachesStore() const;
 
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -198,6 +201,13 @@
   inline bool getReachesStore();
   inline void setReachesStore(bool value);
 
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -657,6 +667,40 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value, true);
 }
 
+inline bool HostObservation::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostObservation::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostObservation::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostObservation::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void HostObservation::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostObservation::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void HostObservation::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostObservation::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool HostObservation::Group::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/hostobservationcodec.cpp
+++ b/packages/protocol/hostobservationcodec.cpp
@@ -28,11 +28,14 @@
 void encodeGroup(wire::HostObservation::Group::Builder To,
                  const GroupObservation &Seen) {
   To.setGroup(Seen.Record.Group);
-  To.setLeader(Seen.Record.Leader);
-  To.setTerm(Seen.Record.Term);
-  To.setPhase(static_cast<std::uint8_t>(Seen.Record.Phase));
-  To.setHolder(Seen.Record.Holder);
   To.setRevision(Seen.Record.Revision);
+  // A record without a leader is one that the receiver has.
+  if (!Seen.Unchanged) {
+    To.setLeader(Seen.Record.Leader);
+    To.setTerm(Seen.Record.Term);
+    To.setPhase(static_cast<std::uint8_t>(Seen.Record.Phase));
+    To.setHolder(Seen.Record.Holder);
+  }
   To.setConfirmedAge(ageField(Seen.ConfirmedAge));
   To.setLogAge(NoAge);
   if (Seen.LeaderLog) {
@@ -51,6 +54,7 @@
   Seen.Record.Phase = From.getPhase() == 0 ? LeadershipPhase::Settled
                                            : LeadershipPhase::Promoting;
   Seen.Record.Holder = From.getHolder().cStr();
+  Seen.Unchanged = Seen.Record.Leader.empty();
   Seen.Record.Revision = From.getRevision();
   Seen.ConfirmedAge = ageOf(From.getConfirmedAge());
   if (std::optional<Milliseconds> Age = ageOf(From.getLogAge())) {
@@ -66,6 +70,7 @@
   Message.Host = From.getHost().cStr();
   Message.Incarnation = From.getIncarnation();
   Message.Address = From.getAddress().cStr();
+  Message.Region = From.getRegion().cStr();
   Message.Leaving = From.getLeaving();
   Message.ReachesStore = From.getReachesStore();
   Message.ConfigurationVersion = From.getConfigurationVersion();
@@ -90,6 +95,7 @@
   To.setHost(Message.Host);
   To.setIncarnation(Message.Incarnation);
   To.setAddress(Message.Address);
+  To.setRegion(Message.Region);
   To.setLeaving(Message.Leaving);
   To.setReachesStore(Message.ReachesStore);
   To.setConfigurationVersion(Message.ConfigurationVersion);
--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -53,6 +53,7 @@
   if (!SameProcess)
     Sender.RecordRevisions.clear();
   Sender.Address = Message.Address;
+  Sender.Region = Message.Region;
   Sender.Incarnation = Message.Incarnation;
   Sender.SentAt = Message.SentAt;
   Sender.HeardAt = Now;
@@ -68,7 +69,7 @@
   if (SentAfter > Now)
     return std::nullopt;
   for (const GroupObservation &Group : Message.Groups) {
-    if (!Group.LeaderAnsweredAge)
+    if (!Group.LeaderAnsweredAge || Group.Record.Leader.empty())
       continue;
     TimePoint &Answered = Sender.LeaderAnswered[Group.Record.Leader];
     Answered = std::max(Answered, SentAfter - *Group.LeaderAnsweredAge);
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -8,6 +8,8 @@
 /// What a host says of one group.
 struct GroupObservation {
   LeadershipRecord Record;
+  /// The receiver goes by the same revision, so only the revision is told.
+  bool Unchanged = false;
   /// Time since the moment for which the record was confirmed.
   std::optional<Milliseconds> ConfirmedAge;
   /// Position of the leader's log and the time since its sample began.
@@ -24,6 +26,7 @@
   /// Changes whenever the host process is restarted.
   std::uint64_t Incarnation = 0;
   std::string Address;
+  RegionName Region;
   bool Leaving = false;
   /// The sender's latest call to the store was answered.
   bool ReachesStore = true;
@@ -48,6 +51,7 @@
 
   struct Peer {
     std::string Address;
+    RegionName Region;
     std::uint64_t Incarnation = 0;
     std::uint64_t SentAt = 0;
     std::optional<TimePoint> HeardAt;
--- a/packages/sessions/leadershipcheck.cpp
+++ b/packages/sessions/leadershipcheck.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /// Age of a leadership from which the databases are asked.
-constexpr Milliseconds CheckAge{600};
+constexpr Milliseconds CheckAge{720};
 /// Each host waits longer by this than the one before it by name, so that one
 /// asks and the others hear of it.
-constexpr Milliseconds OrderDelay{120};
+constexpr Milliseconds OrderDelay{60};
 constexpr std::size_t MaximumOrder = 4;
 constexpr Milliseconds AskInterval{300};
 
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -20,10 +20,11 @@
 } // namespace
 
 SessionEngine::SessionEngine(HostName Self, std::uint64_t Incarnation,
-                             std::string Address,
+                             std::string Address, RegionName Region,
                              DatabaseTable::Measure Measure, Hooks Functions)
-    : Address_(std::move(Address)), Functions_(std::move(Functions)),
-      Table_(std::move(Measure)), Hosts_(std::move(Self), Incarnation),
+    : Address_(std::move(Address)), Region_(std::move(Region)),
+      Functions_(std::move(Functions)), Table_(std::move(Measure)),
+      Hosts_(std::move(Self), Incarnation),
       Runner_(Table_, Authority_, Functions_.Connections,
               {Functions_.Send,
                [this](CallerSessionId Session, StatementResult Result,
@@ -142,12 +143,32 @@
                    Found == Unanswered.end() ? BegunAt : Found->second, Now);
 }
 
+static std::uint64_t followedRevision(const HostTable::Peer &Peer,
+                                      const GroupId &Group) {
+  auto Found = Peer.RecordRevisions.find(Group);
+  return Found == Peer.RecordRevisions.end() ? 0 : Found->second;
+}
+
+HostObservation SessionEngine::completed(HostObservation Message) const {
+  for (GroupObservation &Seen : Message.Groups) {
+    const LeadershipRecord *Own = Authority_.recordOf(Seen.Record.Group);
+    if (Seen.Unchanged && Own && Own->Revision == Seen.Record.Revision)
+      Seen.Record = *Own;
+  }
+  // What can't be filled in was meant for this host's former process.
+  std::erase_if(Message.Groups, [](const GroupObservation &Seen) {
+    return Seen.Record.Leader.empty();
+  });
+  return Message;
+}
+
 HostObservation SessionEngine::observationFor(const HostName &Peer,
                                               TimePoint Now) const {
   HostObservation Message;
   Message.Host = Hosts_.self();
   Message.Incarnation = Hosts_.incarnation();
   Message.Address = Address_;
+  Message.Region = Region_;
   Message.Leaving = Leaving_;
   Message.ReachesStore = ReachesStore_;
   Message.ConfigurationVersion = Proxy_.configuration().Version;
@@ -165,6 +186,8 @@
   for (const auto &[Group, Record] : Authority_.records()) {
     GroupObservation Seen;
     Seen.Record = Record;
+    Seen.Unchanged = Known != Hosts_.peers().end() &&
+                     followedRevision(Known->second, Group) == Record.Revision;
     if (std::optional<TimePoint> At = Authority_.confirmedAt(Group))
       Seen.ConfirmedAge = ageOf(*At, Now);
     const PositionHistory *History = Runner_.historyOf(Group);
@@ -180,8 +203,9 @@
   return Message;
 }
 
-void SessionEngine::onObservation(const HostObservation &Message,
+void SessionEngine::onObservation(const HostObservation &Received,
                                   TimePoint Now) {
+  HostObservation Message = completed(Received);
   std::optional<TimePoint> SentAfter = Hosts_.onMessage(Message, Now);
   Promotions_.onDuty(Message.Duty, Now);
   Runner_.pool().setHosts(Hosts_.connectionHolders(Now));
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -23,7 +23,8 @@
   };
 
   SessionEngine(HostName Self, std::uint64_t Incarnation, std::string Address,
-                DatabaseTable::Measure Measure, Hooks Functions);
+                RegionName Region, DatabaseTable::Measure Measure,
+                Hooks Functions);
 
   SessionProxy &sessions() { return Proxy_; }
   StatementRunner &runner() { return Runner_; }
@@ -58,7 +59,7 @@
 
   /// What this host tells a peer.
   HostObservation observationFor(const HostName &Peer, TimePoint Now) const;
-  void onObservation(const HostObservation &Message, TimePoint Now);
+  void onObservation(const HostObservation &Received, TimePoint Now);
 
   void setReachesStore(bool Reaches) { ReachesStore_ = Reaches; }
   void setLeaving() { Leaving_ = true; }
@@ -67,12 +68,15 @@
   void tick(TimePoint Now);
 
 private:
+  /// Fills in records that the sender left out as unchanged.
+  HostObservation completed(HostObservation Message) const;
   void noteLeadership(const LeadershipRecord &Record, TimePoint Moment,
                       TimePoint Now);
   void useDatabases(TimePoint Now);
   void probeSilentDatabases(TimePoint Now);
 
   std::string Address_;
+  RegionName Region_;
   Hooks Functions_;
   DatabaseTable Table_;
   LeaderAuthority Authority_;
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -265,7 +265,7 @@
   At.Registered = false;
   At.Reading = false;
   At.Engine = std::make_unique<SessionEngine>(
-      At.Name, At.Life * 1000 + Index, At.Name,
+      At.Name, At.Life * 1000 + Index, At.Name, "region",
       [](const ZoneName &) { return Distance::SameZone; }, hooksOf(Index));
   SessionConfiguration Configuration;
   Configuration.Version = 1;
