Judge leaders by recent failures only

Ruled out: a leader that really failed (no other host saw a failure).

Change: a failure counts for 700 ms; a host that regains the store waits 1.2 s before it judges; a comparison waits for the old leader's answer.

--- a/packages/sessions/databasetable.cpp
+++ b/packages/sessions/databasetable.cpp
@@ -143,6 +143,7 @@
     return;
   if (!View->FailingSince)
     View->FailingSince = Now;
+  View->FailedAt = Now;
   View->RefusesConnections = Refused;
   std::uint32_t Doublings = std::min(View->Failures, MaximumAvoidanceDoublings);
   ++View->Failures;
--- a/packages/sessions/databasetable.h
+++ b/packages/sessions/databasetable.h
@@ -17,6 +17,8 @@
   std::optional<TimePoint> AnsweredAt;
   /// First failure since the latest answer.
   std::optional<TimePoint> FailingSince;
+  /// Latest failure since the latest answer.
+  TimePoint FailedAt;
   /// Failures since the latest answer.
   std::uint32_t Failures = 0;
   /// The database refuses connections outright, so its process is gone.
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -13,6 +13,10 @@
 constexpr Milliseconds SilenceLimit{900};
 /// A leader whose machine refuses connections has no process.
 constexpr Milliseconds RefusalLimit{250};
+/// Older failures say nothing about a leader: the way to it may work again.
+constexpr Milliseconds FailureMemory{700};
+/// A host that was cut off judges leaders only after this time.
+constexpr Milliseconds SettlingIn{1200};
 /// A leader that is missing from the list but still answers.
 constexpr Milliseconds MissingGrace{2500};
 /// Each host waits longer by this than the one ranked before it.
@@ -254,7 +258,9 @@
 
 bool PromotionSystem::isUnreachable(const DatabaseView &Leader,
                                     TimePoint Now) const {
-  if (!Leader.FailingSince)
+  bool Recent = Leader.FailingSince && Now - Leader.FailedAt < FailureMemory;
+  bool SettledIn = StoreReachedSince_ && Now - *StoreReachedSince_ > SettlingIn;
+  if (!Recent || !SettledIn)
     return false;
   std::optional<TimePoint> Others =
       Hosts_.answeredToOthers(Leader.Listing.Id, Now);
@@ -296,6 +302,7 @@
   if (const LeadershipRecord *Record = Authority_.recordOf(Group))
     Work.SeenRevision = Record->Revision;
   Work.Reports.clear();
+  Work.OldLeaderFailed = false;
   Work.Next.clear();
   Work.LeadingTerm = 0;
   enter(Group, Work, PromotionStage::Comparing, Now);
@@ -322,11 +329,16 @@
                                TimePoint BegunAt, TimePoint Now) {
   (void)Now;
   const DatabaseView *View = Table_.find(Database);
-  if (!View || !Report)
+  if (!View)
     return;
   auto Found = Efforts_.find(View->Listing.Group);
-  if (Found != Efforts_.end())
-    Found->second.Reports[Database] = {*Report, BegunAt};
+  if (Found == Efforts_.end())
+    return;
+  Effort &Work = Found->second;
+  if (Report)
+    Work.Reports[Database] = {*Report, BegunAt};
+  else if (Database == Work.OldLeader && BegunAt >= Work.StageSince)
+    Work.OldLeaderFailed = true;
 }
 
 /// With synchronous replicas, one that holds every acknowledged commit must be
@@ -378,7 +390,11 @@
     Expected += View->Listing.Id == Work.OldLeader ? 0 : 1;
   std::size_t Reported = Work.Reports.size();
   Reported -= Work.Reports.contains(Work.OldLeader) ? 1 : 0;
-  bool Complete = Reported >= Expected;
+  // A leader that answers after all is heard before it is replaced.
+  bool OldHeard = Work.OldLeaderFailed ||
+                  Work.Reports.contains(Work.OldLeader) ||
+                  !Table_.find(Work.OldLeader);
+  bool Complete = Reported >= Expected && OldHeard;
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   if (!Record || Record->Revision != Work.SeenRevision) {
     enter(Group, Work, PromotionStage::Watching, Now, "the record has changed");
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -85,6 +85,10 @@
   void setListTrustedSince(std::optional<TimePoint> Since) {
     ListTrustedSince_ = Since;
   }
+  /// The store has answered this host without a break since.
+  void setStoreReachedSince(std::optional<TimePoint> Since) {
+    StoreReachedSince_ = Since;
+  }
   void setSynchronousReplicas(const GroupId &Group, std::uint32_t Count) {
     SynchronousReplicas_[Group] = Count;
   }
@@ -127,6 +131,8 @@
     std::uint64_t SeenRevision = 0;
     TimePoint SeenAt;
     DatabaseId OldLeader;
+    /// The old leader has not answered the question of this comparison.
+    bool OldLeaderFailed = false;
     DatabaseId Next;
     /// Revision of this host's claim.
     std::uint64_t Claim = 0;
@@ -185,6 +191,7 @@
   Hooks Functions_;
   bool RecordsListed_ = false;
   std::optional<TimePoint> ListTrustedSince_;
+  std::optional<TimePoint> StoreReachedSince_;
   std::map<GroupId, std::uint32_t> SynchronousReplicas_;
   std::map<GroupId, Effort> Efforts_;
   PromotionDuty Duty_;
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -126,6 +126,15 @@
   noteLeadership(Record, *Moment, Now);
 }
 
+void SessionEngine::setReachesStore(bool Reaches, TimePoint Now) {
+  ReachesStore_ = Reaches;
+  if (!Reaches)
+    StoreReachedSince_.reset();
+  else if (!StoreReachedSince_)
+    StoreReachedSince_ = Now;
+  Promotions_.setStoreReachedSince(StoreReachedSince_);
+}
+
 void SessionEngine::applyHosts(const std::map<HostName, std::string> &Addresses,
                                TimePoint BegunAt) {
   Hosts_.applyListed(Addresses, BegunAt);
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -61,7 +61,8 @@
   HostObservation observationFor(const HostName &Peer, TimePoint Now) const;
   void onObservation(const HostObservation &Received, TimePoint Now);
 
-  void setReachesStore(bool Reaches) { ReachesStore_ = Reaches; }
+  /// Whether the store answered this host's latest call.
+  void setReachesStore(bool Reaches, TimePoint Now);
   void setLeaving() { Leaving_ = true; }
   bool isLeaving() const { return Leaving_; }
   std::uint64_t databaseListRevision() const { return ListRevision_; }
@@ -92,6 +93,7 @@
   std::uint64_t ListRevision_ = 0;
   bool Leaving_ = false;
   bool ReachesStore_ = true;
+  std::optional<TimePoint> StoreReachedSince_;
 };
 
 } // namespace nutmegloom
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(waitsForASynchronousReplica);
   CPPUNIT_TEST(takesOverAClaimWithoutAskingForALaterTerm);
   CPPUNIT_TEST(leavesARecordThatWasSettledMeanwhile);
+  CPPUNIT_TEST(leavesALeaderWhoseFailuresAreOld);
+  CPPUNIT_TEST(leavesALeaderThatAnswersTheComparison);
   CPPUNIT_TEST(renewsItsDutyWithTheSameToken);
   CPPUNIT_TEST(leavesTheDutyToAnActiveHolder);
   CPPUNIT_TEST_SUITE_END();
@@ -108,6 +110,7 @@
     Record.Revision = 1;
     Authority_.confirm(Record, Now_);
     System_.onRecordsListed(Now_);
+    System_.setStoreReachedSince(Now_ - std::chrono::seconds(10));
     System_.setListTrustedSince(Now_ - std::chrono::seconds(10));
   }
 
@@ -220,6 +223,31 @@
     CPPUNIT_ASSERT(Promoted_.empty());
   }
 
+  // A host whose cut has just ended still remembered failures of a leader that
+  // had been promoted meanwhile, and replaced it.
+  void leavesALeaderWhoseFailuresAreOld() {
+    list({"a", "b"});
+    lead("a", 3);
+    for (int Count = 0; Count < 3; ++Count)
+      Table_.onFailure("a", false, Now_);
+    Now_ += Milliseconds{1500};
+    report("a", DatabaseRole::Primary, 3, 10);
+    report("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{1000});
+    CPPUNIT_ASSERT(Written_.empty());
+  }
+
+  void leavesALeaderThatAnswersTheComparison() {
+    list({"a", "b"});
+    lead("a", 3);
+    Table_.onFailure("a", true, Now_ - Milliseconds{1000});
+    Table_.onFailure("a", true, Now_);
+    report("a", DatabaseRole::Primary, 3, 10);
+    report("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{600});
+    CPPUNIT_ASSERT(Written_.empty());
+  }
+
   void renewsItsDutyWithTheSameToken() {
     PromotionDuty Own{"self", 7, 9, 50};
     System_.onDuty(Own, Now_);
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -329,7 +329,7 @@
         return [this, Index, Shown, Duty, Listed, ListRevision, BegunAt] {
           Host &Reader = *Hosts_[Index];
           Reader.Reading = false;
-          Reader.Engine->setReachesStore(true);
+          Reader.Engine->setReachesStore(true, Now_);
           Reader.Engine->promotions().onDuty(Duty, Now_);
           Reader.Engine->applyRecords(Shown, BegunAt, Now_);
           Reader.Engine->applyDatabases(Listed, ListRevision, Now_);
@@ -338,7 +338,7 @@
       },
       [this, Index] {
         Hosts_[Index]->Reading = false;
-        Hosts_[Index]->Engine->setReachesStore(false);
+        Hosts_[Index]->Engine->setReachesStore(false, Now_);
         Hosts_[Index]->Engine->promotions().setListTrustedSince(std::nullopt);
       });
 }
@@ -632,7 +632,7 @@
   if (Token < HighestToken_)
     Violations_.push_back("a lower token than one seen before, by " + Holder);
   HighestToken_ = std::max(HighestToken_, Token);
-  auto [Known, Inserted] = TokenHolders_.emplace(Token, Holder);
+  auto Known = TokenHolders_.emplace(Token, Holder).first;
   if (Known->second != Holder)
     Violations_.push_back("one token of two holders");
   if (!database(Id).Up) {
@@ -652,8 +652,8 @@
     ++Promotions_;
     for (const auto &[Term, Acks] : Acknowledged_) {
       std::uint64_t Kept = Next.heldOf(Term);
-      auto [Entry, Inserted] = Kept_.try_emplace(Term, Kept);
-      Entry->second = std::min(Entry->second, Kept);
+      std::uint64_t &Least = Kept_.try_emplace(Term, Kept).first->second;
+      Least = std::min(Least, Kept);
     }
     Next.Terms.push_back({++Term_, Next.Size});
     Next.Term = Term_;
