Serve metrics of sessions and test the adapter against stand-ins

Metrics of statements, promotions and leaderships on the port of the settings; the adapter is tested in one process against stand-ins of the session protocol and the object API; fuzz targets for lines and objects.

--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -27,7 +27,9 @@
                 Hooks Functions);
 
   SessionProxy &sessions() { return Proxy_; }
+  const SessionProxy &sessions() const { return Proxy_; }
   StatementRunner &runner() { return Runner_; }
+  const StatementRunner &runner() const { return Runner_; }
   PromotionSystem &promotions() { return Promotions_; }
   const PromotionSystem &promotions() const { return Promotions_; }
   HostTable &hosts() { return Hosts_; }
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -105,6 +105,7 @@
 
   DatabasePool &pool() { return Pool_; }
   const PositionHistory *historyOf(const GroupId &Group) const;
+  std::size_t connections() const { return Pool_.total(); }
   std::size_t waiting() const { return Queue_.size(); }
   std::size_t inProgress() const { return Works_.size(); }
 
--- /dev/null
+++ b/testing/standinsessions/sessiondatabases.h
@@ -0,0 +1,61 @@
+#ifndef NUTMEGLOOM_TESTING_STANDINSESSIONS_SESSIONDATABASES_H
+#define NUTMEGLOOM_TESTING_STANDINSESSIONS_SESSIONDATABASES_H
+
+#include "platform/linestream.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace nutmegloom::testing {
+
+/// Databases of one group that speak the platform's session protocol on
+/// loopback. A commit reaches the replicas at once.
+class SessionDatabases {
+public:
+  SessionDatabases(boost::asio::io_context &Io, std::string Group,
+                   const std::vector<std::string> &Ids);
+
+  std::string addressOf(const std::string &Id) const;
+  const std::string &primary() const { return Primary_; }
+  bool isUp(const std::string &Id) const { return Members_.at(Id)->Up; }
+  /// The database stops to accept and breaks its connections.
+  void crash(const std::string &Id);
+  /// The database leads the next term.
+  void promote(const std::string &Id);
+  /// Texts of the statements that ran, with the id of their database.
+  const std::vector<std::pair<std::string, std::string>> &executed() const {
+    return Executed_;
+  }
+  std::size_t commits() const { return Index_; }
+
+private:
+  struct Member {
+    explicit Member(boost::asio::io_context &Io) : Acceptor(Io) {}
+    boost::asio::ip::tcp::acceptor Acceptor;
+    std::vector<std::shared_ptr<LineStream>> Streams;
+    bool Up = true;
+  };
+  struct Session {
+    std::shared_ptr<LineStream> Stream;
+    std::string State = "I";
+    std::size_t Writes = 0;
+  };
+
+  void accept(const std::string &Id);
+  void onLine(const std::string &Id, Session &Of, std::string_view Line);
+  std::string answer(const std::string &Id, Session &Of, std::string Text);
+
+  std::string Group_;
+  std::string Primary_;
+  std::uint64_t Term_ = 3;
+  std::uint64_t Index_ = 0;
+  std::map<std::string, std::unique_ptr<Member>> Members_;
+  std::vector<std::pair<std::string, std::string>> Executed_;
+};
+
+} // namespace nutmegloom::testing
+
+#endif // NUTMEGLOOM_TESTING_STANDINSESSIONS_SESSIONDATABASES_H
--- /dev/null
+++ b/tests/fuzz/listingsfuzz.cpp
@@ -0,0 +1,18 @@
+#include "platform/listings.h"
+
+using namespace nutmegloom;
+
+/// Entries and configurations of the store may come from any writer.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  StoredObject Object;
+  Object.Name = "name";
+  Object.Revision = 1;
+  Object.Content.assign(reinterpret_cast<const char *>(Data), Size);
+  readDatabase(Object);
+  readConfiguration(Object);
+  readLeadership(Object);
+  readDuty(Object);
+  readHost(Object);
+  return 0;
+}
--- /dev/null
+++ b/tests/platform/linecodectest.cpp
@@ -0,0 +1,146 @@
+#include "platform/linecodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace nutmegloom {
+
+class LineCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LineCodecTest);
+  CPPUNIT_TEST(readsCallersMessages);
+  CPPUNIT_TEST(refusesWhatItDoesNotKnow);
+  CPPUNIT_TEST(keepsForwardedTextUnchanged);
+  CPPUNIT_TEST(writesCommands);
+  CPPUNIT_TEST(readsAnswers);
+  CPPUNIT_TEST(refusesAnswersOutOfOrder);
+  CPPUNIT_TEST(readsReports);
+  CPPUNIT_TEST(positionsSurviveTheWayThere);
+  CPPUNIT_TEST(anyTextGetsAnAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+  static CallerStatement statement(std::string_view Line) {
+    return std::get<CallerStatement>(line::readCallerMessage(Line));
+  }
+
+  void readsCallersMessages() {
+    auto Start = std::get<line::Start>(line::readCallerMessage("START d1 u7"));
+    CPPUNIT_ASSERT_EQUAL(std::string("d1"), Start.Database);
+    CallerStatement Prepare = statement("QUERY i1 PREPARE s1 WRITE q2 c");
+    CPPUNIT_ASSERT(Prepare.Verb == StatementVerb::Prepare);
+    CPPUNIT_ASSERT(Prepare.Access == StatementKind::Write);
+    CPPUNIT_ASSERT_EQUAL(std::string("q2 c"), Prepare.Argument);
+    CallerStatement Execute =
+        statement("QUERY i1 EXECUTE s1 1a4 data and more");
+    CPPUNIT_ASSERT_EQUAL(std::string("1a4 data and more"), Execute.Argument);
+    CPPUNIT_ASSERT(statement("QUERY i BEGIN").Verb == StatementVerb::Begin);
+    CPPUNIT_ASSERT(statement("QUERY i BEGIN READ").Verb ==
+                   StatementVerb::BeginRead);
+  }
+
+  // A caller must not reach commands that only the proxy may send.
+  void refusesWhatItDoesNotKnow() {
+    for (const char *Text :
+         {"QUERY i WAITFOR 1.2 READ x", "QUERY i STATUS", "QUERY i RESET",
+          "QUERY i STEPDOWN 5", "QUERY i COMMIT now", "QUERY i READ",
+          "QUERY i PREPARE s OTHER q", "QUERY i"})
+      CPPUNIT_ASSERT(statement(Text).Verb == StatementVerb::Unreadable);
+    CPPUNIT_ASSERT(std::holds_alternative<line::Malformed>(
+        line::readCallerMessage("HELLO there")));
+  }
+
+  void keepsForwardedTextUnchanged() {
+    DatabaseCommand Command;
+    Command.Id = "5c0e";
+    Command.Text = statement("QUERY 5c0e WRITE 1a4  two  blanks").Text;
+    CPPUNIT_ASSERT_EQUAL(std::string("QUERY 5c0e WRITE 1a4  two  blanks\r\n"),
+                         line::writeCommand(Command));
+  }
+
+  void writesCommands() {
+    DatabaseCommand Command;
+    Command.Id = "i";
+    Command.Text = "1a4";
+    Command.Name = "r_q";
+    Command.Floor = Position{3, 12};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("QUERY i WAITFOR 3.12 EXECUTE r_q 1a4\r\n"),
+        line::writeCommand(Command));
+    DatabaseCommand Begin;
+    Begin.Verb = CommandVerb::BeginRead;
+    Begin.Floor = Position{3, 12};
+    CPPUNIT_ASSERT_EQUAL(std::string("QUERY - WAITFOR 3.12 BEGIN READ\r\n"),
+                         line::writeCommand(Begin));
+  }
+
+  void readsAnswers() {
+    line::AnswerReader Reader;
+    using Progress = line::AnswerReader::Progress;
+    CPPUNIT_ASSERT(Reader.add("DATAROW a b") == Progress::Incomplete);
+    CPPUNIT_ASSERT(Reader.add("COMPLETE 7.1f") == Progress::Incomplete);
+    CPPUNIT_ASSERT(Reader.add("READY T 3.9") == Progress::Complete);
+    StatementAnswer Answer = Reader.take();
+    CPPUNIT_ASSERT(Answer.Rows == std::vector<std::string>{"a b"});
+    CPPUNIT_ASSERT(Answer.State == SessionState::InTransaction);
+    CPPUNIT_ASSERT(Answer.Log == (Position{3, 9}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("DATAROW a b\r\nCOMPLETE 7.1f\r\nREADY T 3.9\r\n"),
+        line::writeAnswer(Answer));
+    Reader.add("ERROR LAGGING i-1 more");
+    Reader.add("READY I -");
+    StatementAnswer Behind = Reader.take();
+    CPPUNIT_ASSERT(Behind.Code == StatementCode::Behind);
+    CPPUNIT_ASSERT(Behind.Rows.empty());
+  }
+
+  // Rows behind the end of an answer belong to another one.
+  void refusesAnswersOutOfOrder() {
+    line::AnswerReader Reader;
+    Reader.add("COMPLETE x");
+    CPPUNIT_ASSERT(Reader.add("DATAROW y") ==
+                   line::AnswerReader::Progress::Malformed);
+    line::AnswerReader Other;
+    CPPUNIT_ASSERT(Other.add("READY Q 1.1") ==
+                   line::AnswerReader::Progress::Malformed);
+  }
+
+  void readsReports() {
+    auto Report = line::readReport("replica 3 3.1209 4 12 2 17");
+    CPPUNIT_ASSERT(Report);
+    CPPUNIT_ASSERT(Report->Role == DatabaseRole::Replica);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Report->PausedTerm);
+    CPPUNIT_ASSERT(Report->Received == (Position{3, 1209}));
+    CPPUNIT_ASSERT(!line::readReport("other 3 3.1 0 0 0 0"));
+    CPPUNIT_ASSERT(!line::readReport("primary x 3.1 0 0 0 0"));
+    CPPUNIT_ASSERT(!line::readReport("primary 3"));
+  }
+
+  void positionsSurviveTheWayThere() {
+    bool Holds = rc::check("positions", [] {
+      Position At{*rc::gen::arbitrary<std::uint64_t>(),
+                  *rc::gen::arbitrary<std::uint64_t>()};
+      std::string Ready = line::writeReady(SessionState::Idle, At);
+      line::AnswerReader Reader;
+      Reader.add(std::string_view(Ready).substr(0, Ready.size() - 2));
+      RC_ASSERT(Reader.take().Log == At);
+    });
+    CPPUNIT_ASSERT(Holds);
+    CPPUNIT_ASSERT(!line::readPosition("3."));
+    CPPUNIT_ASSERT(!line::readPosition("-1.5"));
+    CPPUNIT_ASSERT(!line::readPosition("99999999999999999999.1"));
+  }
+
+  void anyTextGetsAnAnswer() {
+    bool Holds = rc::check("any line", [](const std::string &Text) {
+      line::readCallerMessage(Text);
+      line::readCallerMessage("QUERY " + Text);
+      line::AnswerReader Reader;
+      Reader.add(Text);
+      line::readReport(Text);
+    });
+    CPPUNIT_ASSERT(Holds);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LineCodecTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/platform/listingstest.cpp
@@ -0,0 +1,137 @@
+#include "platform/listings.h"
+#include "platform/platformsettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace nutmegloom {
+
+class ListingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ListingsTest);
+  CPPUNIT_TEST(readsADatabase);
+  CPPUNIT_TEST(setsAsideEntriesOfOtherWriters);
+  CPPUNIT_TEST(readsAConfiguration);
+  CPPUNIT_TEST(refusesAConfigurationWhole);
+  CPPUNIT_TEST(recordsSurviveTheWayThere);
+  CPPUNIT_TEST(anyContentGetsAnAnswer);
+  CPPUNIT_TEST(readsSettings);
+  CPPUNIT_TEST(namesTheOffendingSetting);
+  CPPUNIT_TEST_SUITE_END();
+
+  static StoredObject object(const std::string &Content) {
+    StoredObject Made;
+    Made.Name = "i-1";
+    Made.Revision = 7;
+    Made.Content = Content;
+    return Made;
+  }
+
+  void readsADatabase() {
+    auto Read = readDatabase(object(
+        R"({"Service":"g","Address":"10.0.0.9:80","Zone":"z","Slots":5,
+            "State":"draining","DatabaseRole":"primary","born":17,"New":[]})"));
+    const auto &Listing = std::get<DatabaseListing>(Read);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), Listing.Id);
+    CPPUNIT_ASSERT(Listing.Draining);
+    CPPUNIT_ASSERT(Listing.Role == DatabaseRole::Primary);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(17), Listing.StartedAtMs);
+  }
+
+  // Another writer's entry must neither be used nor hide the others.
+  void setsAsideEntriesOfOtherWriters() {
+    for (const char *Content :
+         {"null", "[]", "\xff\xfe", R"({"Service":"g"})",
+          R"({"Service":"g","Address":5,"Zone":"z","State":"ready",
+              "DatabaseRole":"replica"})",
+          R"({"Service":"g","Address":"a","Zone":"z","State":"odd",
+              "DatabaseRole":"replica"})",
+          R"({"Service":"g","Address":"a","Zone":"z","State":"ready",
+              "DatabaseRole":"observer"})"})
+      CPPUNIT_ASSERT(
+          std::holds_alternative<ListingError>(readDatabase(object(Content))));
+  }
+
+  void readsAConfiguration() {
+    auto Read = readConfiguration(object(
+        R"({"Version":7,"Routes":[{"Host":"d","Service":"g",
+            "Kind":"read_your_writes","TimeoutMs":1000.0,"Priority":2,
+            "MaxStalenessMs":2500}],
+            "Services":[{"Name":"g","MaxConnections":34,"SyncReplicas":1}],
+            "Limits":{"TransactionIdleMs":2000}})"));
+    const auto &Configuration = std::get<SessionConfiguration>(Read);
+    const SessionRoute &Route = Configuration.Routes.at("d");
+    CPPUNIT_ASSERT(Route.Mode == ConsistencyMode::ReadYourWrites);
+    CPPUNIT_ASSERT(Route.MaximumAge == Milliseconds{2500});
+    CPPUNIT_ASSERT(Route.StatementTimeout == Milliseconds{1000});
+    CPPUNIT_ASSERT_EQUAL(1U, Configuration.Groups.at("g").SynchronousReplicas);
+    CPPUNIT_ASSERT(Configuration.TransactionIdleTimeout == Milliseconds{2000});
+  }
+
+  void refusesAConfigurationWhole() {
+    auto Read = readConfiguration(object(
+        R"({"Version":7,"Routes":[{"Host":"d","Service":"g","Kind":"primary"},
+            {"Host":"e","Service":"g","Kind":"odd"}],"Services":[]})"));
+    CPPUNIT_ASSERT(std::holds_alternative<ListingError>(Read));
+  }
+
+  void recordsSurviveTheWayThere() {
+    LeadershipRecord Record;
+    Record.Group = "i-1";
+    Record.Leader = "b";
+    Record.Term = 4;
+    Record.Phase = LeadershipPhase::Promoting;
+    Record.Holder = "h";
+    auto Read = std::get<LeadershipRecord>(
+        readLeadership(object(writeLeadership(Record, 6))));
+    CPPUNIT_ASSERT_EQUAL(Record.Leader, Read.Leader);
+    CPPUNIT_ASSERT(Read.Phase == LeadershipPhase::Promoting);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read.Revision);
+    // Each write is a change, so it gets a revision of its own.
+    CPPUNIT_ASSERT(writeLeadership(Record, 6) != writeLeadership(Record, 7));
+    auto Duty = std::get<PromotionDuty>(
+        readDuty(object(writeDuty({"h", 11, 3, 0}, 6))));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Duty.Token);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), Duty.Incarnation);
+  }
+
+  void anyContentGetsAnAnswer() {
+    bool Holds = rc::check("any content", [](const std::string &Text) {
+      for (const std::string &Content : {Text, "{\"Service\":" + Text + "}"}) {
+        readDatabase(object(Content));
+        readConfiguration(object(Content));
+        readLeadership(object(Content));
+        readDuty(object(Content));
+        readHost(object(Content));
+      }
+    });
+    CPPUNIT_ASSERT(Holds);
+  }
+
+  static std::string settings(const std::string &Port) {
+    return R"(// comment
+      {"host":"h","address":"127.0.0.1","availabilityZone":"z","region":"r",
+       "regionsOfZones":{"z":"r"},"callerAddress":"127.0.0.1:1",
+       "readinessAddress":"127.0.0.1:2","peerPort":)" +
+           Port + R"(,"metricsPort":4,"storeAddress":"127.0.0.1:5",
+       "promotionAddress":"127.0.0.1:6","stopGraceSeconds":6})";
+  }
+
+  void readsSettings() {
+    auto Read = readPlatformSettings(settings("3"));
+    CPPUNIT_ASSERT(std::holds_alternative<PlatformSettings>(Read));
+    CPPUNIT_ASSERT(std::get<PlatformSettings>(Read).StopGrace ==
+                   Milliseconds{6000});
+  }
+
+  void namesTheOffendingSetting() {
+    auto Read = readPlatformSettings(settings("0"));
+    CPPUNIT_ASSERT(
+        std::get<SettingsError>(Read).Detail.starts_with("peerPort"));
+    CPPUNIT_ASSERT(
+        std::holds_alternative<SettingsError>(readPlatformSettings("{")));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ListingsTest);
+
+} // namespace nutmegloom
--- /dev/null
+++ b/tests/platform/platformhosttest.cpp
@@ -0,0 +1,239 @@
+#include "platform/platformhost.h"
+#include "telemetry/events.h"
+#include "testing/standinsessions/objectapi.h"
+#include "testing/standinsessions/sessiondatabases.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace nutmegloom {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using nlohmann::json;
+
+namespace {
+
+/// A caller's connection that keeps the lines that it got.
+class TestCaller {
+public:
+  TestCaller(asio::io_context &Io, const std::string &Address) : Socket_(Io) {
+    Socket_.connect(*endpointOf(Address));
+    Stream_ = LineStream::create(std::move(Socket_));
+    Stream_->start({[this](std::string_view Line) { Lines.emplace_back(Line); },
+                    [this] { Closed = true; }});
+  }
+
+  void send(const std::string &Line) { Stream_->write(Line + "\r\n"); }
+  /// True once the latest answer is complete.
+  bool isReady() const {
+    return !Lines.empty() && Lines.back().starts_with("READY");
+  }
+
+  std::vector<std::string> Lines;
+  bool Closed = false;
+
+private:
+  tcp::socket Socket_;
+  std::shared_ptr<LineStream> Stream_;
+};
+
+} // namespace
+
+/// The whole adapter in one process, against stand-ins on loopback.
+class PlatformHostTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformHostTest);
+  CPPUNIT_TEST(servesAStatement);
+  CPPUNIT_TEST(refusesUnknownDatabases);
+  CPPUNIT_TEST(servesATransactionWithValues);
+  CPPUNIT_TEST(followsTheConfiguration);
+  CPPUNIT_TEST(listsAgainWhenTheHistoryIsGone);
+  CPPUNIT_TEST(replacesALostPrimary);
+  CPPUNIT_TEST(servesWhileTheStoreIsDown);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context Io_;
+  testing::SessionDatabases Databases_{Io_, "g", {"a", "b", "c"}};
+  testing::ObjectApi Store_{Io_, [this](const std::string &Id) {
+                              if (!Databases_.isUp(Id))
+                                return false;
+                              Databases_.promote(Id);
+                              list(Id, "primary");
+                              return true;
+                            }};
+  std::unique_ptr<PlatformHost> Host_;
+  std::string CallerAddress_;
+  std::ostringstream Log_;
+
+  static std::string freeAddress(asio::io_context &Io) {
+    tcp::acceptor Acceptor(Io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  void list(const std::string &Id, const std::string &Role) {
+    Store_.put("servers", Id,
+               {{"Service", "g"},
+                {"Address", Databases_.addressOf(Id)},
+                {"Zone", "z"},
+                {"Slots", 5},
+                {"State", "ready"},
+                {"DatabaseRole", Role}});
+  }
+
+  void configure(std::uint64_t Version, const std::vector<std::string> &Names) {
+    json Content;
+    Content["Version"] = Version;
+    Content["Routes"] = json::array();
+    for (const std::string &Name : Names)
+      Content["Routes"].push_back({{"Host", Name},
+                                   {"Service", "g"},
+                                   {"Kind", "primary"},
+                                   {"TimeoutMs", 1000},
+                                   {"Priority", 1}});
+    Content["Services"] = {{{"Name", "g"}, {"MaxConnections", 34}}};
+    Store_.put("config", "main", Content);
+  }
+
+public:
+  void setUp() override {
+    setLogStream(Log_);
+    list("a", "primary");
+    list("b", "replica");
+    list("c", "replica");
+    configure(3, {"d1"});
+    PlatformSettings Settings;
+    Settings.Host = "h1";
+    Settings.Address = "127.0.0.1";
+    Settings.Zone = "z";
+    Settings.Region = "r";
+    Settings.RegionsOfZones = {{"z", "r"}};
+    Settings.CallerAddress = CallerAddress_ = freeAddress(Io_);
+    Settings.ReadinessAddress = freeAddress(Io_);
+    Settings.PeerPort = endpointOf(freeAddress(Io_))->port();
+    Settings.MetricsPort = endpointOf(freeAddress(Io_))->port();
+    Settings.StoreAddress = Store_.address();
+    Settings.PromotionAddress = Store_.address();
+    Host_ = std::make_unique<PlatformHost>(Io_, Settings);
+    CPPUNIT_ASSERT(Host_->start());
+  }
+
+  void tearDown() override {
+    // Handlers of the host must not outlive it.
+    Io_.stop();
+    static std::ostringstream Rest;
+    setLogStream(Rest);
+  }
+
+private:
+  /// Runs until the condition holds; false after ten seconds.
+  bool await(const std::function<bool()> &Holds) {
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!Holds() && std::chrono::steady_clock::now() < End)
+      Io_.run_one_for(std::chrono::milliseconds(20));
+    return Holds();
+  }
+
+  std::vector<std::string> ask(TestCaller &Caller, const std::string &Line) {
+    Caller.Lines.clear();
+    Caller.send(Line);
+    CPPUNIT_ASSERT(await([&] { return Caller.isReady(); }));
+    return Caller.Lines;
+  }
+
+  std::unique_ptr<TestCaller> connected(const std::string &Name) {
+    auto Made = std::make_unique<TestCaller>(Io_, CallerAddress_);
+    CPPUNIT_ASSERT_EQUAL(std::string("READY I -"),
+                         ask(*Made, "START " + Name + " me").back());
+    return Made;
+  }
+
+  using Lines = std::vector<std::string>;
+
+  void servesAStatement() {
+    auto Caller = connected("d1");
+    Lines Read = ask(*Caller, "QUERY q1 READ x");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Read.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"), Read[1]);
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*Caller, "QUERY q2 WRITE x data")[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Databases_.commits());
+  }
+
+  void refusesUnknownDatabases() {
+    TestCaller Caller(Io_, CallerAddress_);
+    Caller.send("START other me");
+    CPPUNIT_ASSERT(await([&] { return Caller.Closed; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("ERROR NODATABASE other"),
+                         Caller.Lines.at(0));
+  }
+
+  void servesATransactionWithValues() {
+    auto Caller = connected("d1");
+    ask(*Caller, "QUERY q1 SET v 1");
+    ask(*Caller, "QUERY q2 PREPARE s WRITE shape");
+    CPPUNIT_ASSERT_EQUAL(std::string("READY T -"),
+                         ask(*Caller, "QUERY q3 BEGIN").back());
+    ask(*Caller, "QUERY q4 EXECUTE s x data");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Databases_.commits());
+    ask(*Caller, "QUERY q5 COMMIT");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Databases_.commits());
+    CPPUNIT_ASSERT_EQUAL(std::string("EXECUTE w_shape x data"),
+                         Databases_.executed().at(0).second);
+  }
+
+  void followsTheConfiguration() {
+    auto Old = connected("d1");
+    configure(8, {"d2"});
+    CPPUNIT_ASSERT(await([&] {
+      TestCaller Caller(Io_, CallerAddress_);
+      return ask(Caller, "START d2 me").back().starts_with("READY") ||
+             Caller.Closed;
+    }));
+    CPPUNIT_ASSERT(
+        ask(*Old, "QUERY q READ x")[0].starts_with("ERROR NODATABASE"));
+  }
+
+  void listsAgainWhenTheHistoryIsGone() {
+    connected("d1");
+    Store_.dropHistory();
+    configure(8, {"d1", "d2"});
+    auto hasVersion = [this] {
+      return Log_.str().find("version=8") != std::string::npos;
+    };
+    CPPUNIT_ASSERT(await(hasVersion));
+  }
+
+  void replacesALostPrimary() {
+    auto Caller = connected("d1");
+    ask(*Caller, "QUERY q1 WRITE x data");
+    Databases_.crash("a");
+    bool Served = await([&] {
+      return ask(*Caller, "QUERY q2 WRITE x data")[0].starts_with("COMPLETE");
+    });
+    CPPUNIT_ASSERT(Served);
+    CPPUNIT_ASSERT(Databases_.primary() != "a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store_.promotions());
+    auto Record = Store_.find("leaderships", "g");
+    CPPUNIT_ASSERT_EQUAL(std::string("settled"),
+                         (*Record)["phase"].get<std::string>());
+  }
+
+  void servesWhileTheStoreIsDown() {
+    auto Caller = connected("d1");
+    ask(*Caller, "QUERY q1 WRITE x data");
+    Store_.setDown(true);
+    // Longer than a leadership is valid without a confirmation.
+    asio::steady_timer Timer(Io_, LeadershipValidity * 2);
+    bool Passed = false;
+    Timer.async_wait([&](auto) { Passed = true; });
+    CPPUNIT_ASSERT(await([&] { return Passed; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*Caller, "QUERY q2 WRITE x data")[0]);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformHostTest);
+
+} // namespace nutmegloom
