Count a connection once that opens after its database has gone

A database was removed from the list while a connection to it was being opened; the connection was counted out twice, and the count of openings wrapped around. Ruled out: an address that was avoided, a leaked connection (both counts were right).

Change: a connection is idle before it is dropped; a unit test that failed first. Databases that stay behind are left out longer, up to 0.8 s; lines of statements name the group, the required position and the age of the leadership.

--- a/packages/sessions/databasepool.cpp
+++ b/packages/sessions/databasepool.cpp
@@ -141,13 +141,12 @@
   if (Found == Connections_.end())
     return;
   Entry &Given = Found->second;
-  const DatabaseView *View = Table_.find(Given.Database);
-  if (!View) {
+  Given.State = Use::Idle;
+  Given.Since = Now;
+  if (!Table_.find(Given.Database)) {
     drop(Connection);
     return;
   }
-  Given.State = Use::Idle;
-  Given.Since = Now;
   Members_[Given.Database].Idle.push_back(Connection);
 }
 
--- a/packages/sessions/databasetable.cpp
+++ b/packages/sessions/databasetable.cpp
@@ -10,6 +10,7 @@
 constexpr double ServiceSmoothing = 0.1;
 constexpr Milliseconds FirstAvoidance{50};
 constexpr std::uint32_t MaximumAvoidanceDoublings = 4;
+constexpr Milliseconds FirstBehindPause{50};
 
 double toMilliseconds(Duration Time) {
   return std::chrono::duration<double, std::milli>(Time).count();
@@ -130,12 +131,23 @@
   DatabaseView *View = find(Database);
   if (!View)
     return;
+  View->BehindCount = 0;
   double Network = static_cast<double>(roundTripOf(View->Away).count());
   double Sample = std::max(0.5, toMilliseconds(Time) - Network);
   View->ServiceMilliseconds +=
       ServiceSmoothing * (Sample - View->ServiceMilliseconds);
 }
 
+void DatabaseTable::onBehind(const DatabaseId &Database, TimePoint Now) {
+  DatabaseView *View = find(Database);
+  if (!View)
+    return;
+  std::uint32_t Doublings =
+      std::min(View->BehindCount, MaximumAvoidanceDoublings);
+  ++View->BehindCount;
+  View->BehindUntil = Now + FirstBehindPause * (1U << Doublings);
+}
+
 void DatabaseTable::onFailure(const DatabaseId &Database, bool Refused,
                               TimePoint Now) {
   DatabaseView *View = find(Database);
--- a/packages/sessions/databasetable.h
+++ b/packages/sessions/databasetable.h
@@ -27,6 +27,8 @@
   TimePoint AvoidUntil;
   /// A replica that was behind a required position is left out until then.
   TimePoint BehindUntil;
+  /// Times in a row that it was behind.
+  std::uint32_t BehindCount = 0;
   /// Smoothed time from a statement to its answer, without the network.
   double ServiceMilliseconds = 10;
   /// Statements of this host under way.
@@ -66,6 +68,8 @@
                 TimePoint BegunAt);
   /// Time that a statement took at the database.
   void onServiceTime(const DatabaseId &Database, Duration Time);
+  /// The database's log lacked a required position.
+  void onBehind(const DatabaseId &Database, TimePoint Now);
   /// A connection could not be opened or broke, or an answer did not come.
   void onFailure(const DatabaseId &Database, bool Refused, TimePoint Now);
   /// A probe failed while exchanges since Since have no answer.
--- a/packages/sessions/sessionproxy.cpp
+++ b/packages/sessions/sessionproxy.cpp
@@ -287,7 +287,10 @@
   Report.StatementId = Held.Current->Id;
   Report.Verb = Held.Current->Verb;
   Report.Route = Held.Database;
+  Report.Group = Held.Route.Group;
   Report.Mode = Held.Route.Mode;
+  Report.Floor = Result.Floor;
+  Report.LeadershipAge = Result.LeadershipAge;
   Report.Code = Answer.Code;
   Report.Detail = Answer.Detail;
   Report.Database = Result.Database;
--- a/packages/sessions/sessionproxy.h
+++ b/packages/sessions/sessionproxy.h
@@ -10,11 +10,16 @@
   std::string_view StatementId;
   StatementVerb Verb = StatementVerb::Unreadable;
   std::string_view Route;
+  std::string_view Group;
   ConsistencyMode Mode = ConsistencyMode::Primary;
   StatementCode Code = StatementCode::Done;
   std::string_view Detail;
   DatabaseId Database;
   std::uint32_t Attempts = 0;
+  /// Position that the database's log had to hold.
+  std::optional<Position> Floor;
+  /// Age of the confirmation of the group's leader.
+  std::optional<Milliseconds> LeadershipAge;
   std::uint64_t ConfigurationVersion = 0;
   Duration Time{0};
 };
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -11,8 +11,6 @@
 constexpr std::uint32_t MaximumAttempts = 6;
 /// A statement that has waited this long may borrow a connection.
 constexpr Milliseconds UrgentWait{10};
-/// After a database was behind a required position.
-constexpr Milliseconds BehindPause{100};
 /// A connection that no session uses owes its answers within this time.
 constexpr Milliseconds OrphanTimeout{2000};
 /// Work of a group that is looked at when one connection becomes free.
@@ -492,8 +490,7 @@
       View->AvoidUntil = Now + UrgentWait;
   }
   if (Answer.Code == StatementCode::Behind) {
-    if (DatabaseView *View = Table_.find(Task.Database))
-      View->BehindUntil = Now + BehindPause;
+    Table_.onBehind(Task.Database, Now);
   }
   freeConnection(Task, Answer.State, Now);
   if (Task.Attempts >= MaximumAttempts || Now >= Task.Work.Deadline) {
@@ -508,8 +505,13 @@
   Task.Connection = 0;
   if (tryStart(Task, Now))
     return;
-  // A database that refused may accept the statement later.
+  // A database that refused may accept the statement later; one that is behind
+  // is left out for a while by the table.
   Task.Avoided.clear();
+  if (std::optional<Milliseconds> Start = tooLateBy(Task, Now)) {
+    refuse(Task, *Start, Now);
+    return;
+  }
   Queue_.add(Task.Work.Group, Task.Work.Session, Task.Work.Priority,
              Task.Work.ReceivedAt);
 }
@@ -566,7 +568,12 @@
 void StatementRunner::finish(CallerSessionId Session, StatementResult Result,
                              TimePoint Now) {
   Queue_.remove(Session);
-  Works_.erase(Session);
+  if (auto Found = Works_.find(Session); Found != Works_.end()) {
+    Result.Floor = Found->second.Floor;
+    if (auto At = Authority_.confirmedAt(Found->second.Work.Group))
+      Result.LeadershipAge = std::chrono::floor<Milliseconds>(Now - *At);
+    Works_.erase(Found);
+  }
   Functions_.Finished(Session, std::move(Result), Now);
 }
 
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -51,6 +51,10 @@
   bool OwnWriteLost = false;
   /// When a later try may succeed; zero: not known.
   Milliseconds RetryAfter{0};
+  /// Position that the database's log had to hold.
+  std::optional<Position> Floor;
+  /// Age of the confirmation of the group's leader at the end.
+  std::optional<Milliseconds> LeadershipAge;
   /// Statements sent for it, other than those that prepare the connection.
   std::uint32_t Attempts = 0;
 };
--- a/tests/sessions/databasepooltest.cpp
+++ b/tests/sessions/databasepooltest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(borrowsWhenWorkWaits);
   CPPUNIT_TEST(closesBorrowedConnections);
   CPPUNIT_TEST(pausesAfterAnOverload);
+  CPPUNIT_TEST(countsAConnectionThatOpensAfterItsDatabaseHasGone);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
@@ -113,6 +114,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), Closed_.size());
   }
 
+  // Counted out twice, it kept the host from opening any other.
+  void countsAConnectionThatOpensAfterItsDatabaseHasGone() {
+    addDatabase();
+    Pool_.open("a", Now_);
+    Table_.apply({});
+    Pool_.onOpened(Opened_.back(), Now_);
+    addDatabase();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Pool_.openingOf("a"));
+    CPPUNIT_ASSERT(Pool_.mayOpen("a", false, Now_));
+  }
+
   void pausesAfterAnOverload() {
     addDatabase();
     Pool_.open("a", Now_);
--- a/tests/sessions/randomfaultstest.cpp
+++ b/tests/sessions/randomfaultstest.cpp
@@ -134,6 +134,11 @@
     }
   }
 
+  static void print(const std::vector<std::string> &Lines) {
+    for (const std::string &Line : Lines)
+      std::cerr << Line << "\n";
+  }
+
   static std::unique_ptr<Simulation> played(std::uint32_t Seed) {
     auto Sim = std::make_unique<Simulation>(Seed, HostCount);
     Random From(Seed * 7919);
@@ -157,8 +162,7 @@
       auto Sim = played(Seed);
       std::vector<std::string> Broken = Sim->violations();
       if (!Broken.empty())
-        for (const std::string &Line : Sim->trace())
-          std::cerr << Line << "\n";
+        print(Sim->trace());
       CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ": " +
                                  (Broken.empty() ? "" : Broken.front()),
                              Broken.empty());
@@ -175,10 +179,12 @@
       auto Sim = played(Seed);
       for (std::size_t Host = 0; Host < HostCount; ++Host) {
         CallerSessionId Id = Sim->open(Host, "primary");
+        StatementAnswer Answer = Sim->ask(Host, Id, StatementVerb::Write);
+        if (Answer.Code != StatementCode::Done)
+          print(Sim->trace());
         CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ", host " +
-                                   std::to_string(Host),
-                               Sim->ask(Host, Id, StatementVerb::Write).Code ==
-                                   StatementCode::Done);
+                                   std::to_string(Host) + ": " + Answer.Detail,
+                               Answer.Code == StatementCode::Done);
       }
     }
   }
