Hold a commit's answer until its leader is confirmed

Change: such an answer waits for a confirmation, which proves that nobody else led when the commit was made, until the statement's time-out or another record.

--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -120,21 +120,22 @@
                               TimePoint Now) {
   Queue_.remove(Session);
   auto Found = Works_.find(Session);
-  if (Found != Works_.end()) {
-    ConnectionId Connection = Found->second.Connection;
-    Works_.erase(Found);
-    auto Used = Links_.find(Connection);
-    // The answer of the statement under way is still to come; the connection
-    // is given back once it has.
-    if (Used != Links_.end()) {
-      Used->second.Session = 0;
-      if (Used->second.InTransaction)
-        rollBack(Connection, Now);
-      return;
-    }
+  if (Found == Works_.end()) {
+    if (Pinned)
+      rollBack(*Pinned, Now);
+    return;
   }
-  if (Pinned)
-    rollBack(*Pinned, Now);
+  ConnectionId Connection = Found->second.Connection;
+  Works_.erase(Found);
+  // The answer of the statement under way is still to come; the connection is
+  // given back once it has. A commit that waits for its leader to be confirmed
+  // has given it back already.
+  auto Used = Links_.find(Connection);
+  if (Used == Links_.end())
+    return;
+  Used->second.Session = 0;
+  if (Used->second.InTransaction)
+    rollBack(Connection, Now);
 }
 
 void StatementRunner::rollBack(ConnectionId Connection, TimePoint Now) {
@@ -290,6 +291,8 @@
   Task.At = Stage::Running;
   Task.SentAt = Now;
   ++Task.Attempts;
+  if (const LeadershipRecord *Record = Authority_.recordOf(Task.Work.Group))
+    Task.Leadership = Record->Revision;
   matchProfile(Connection, Task.Work, Now);
   DatabaseCommand Command = Task.Work.Command;
   bool Alone = !Task.Work.Pinned && !Task.Work.Opens;
@@ -450,17 +453,17 @@
     return;
   }
   Table_.onServiceTime(Task.Database, Now - Task.SentAt);
-  StatementResult Result;
-  Result.Database = Task.Database;
-  Result.Attempts = Task.Attempts;
   bool Commits = Work.Writes && (!InTransaction || Work.EndsTransaction);
-  if (Commits && !Authority_.mayAcknowledge(Work.Group, Task.Database, Now)) {
-    Result.Answer = errorAnswer(StatementCode::InDoubt,
-                                "the primary may have been replaced");
+  if (Commits) {
     freeConnection(Task, Answer.State, Now);
-    finish(Work.Session, std::move(Result), Now);
+    Task.Held = std::move(Answer);
+    Task.At = Stage::Confirming;
+    confirmCommit(Task, Now);
     return;
   }
+  StatementResult Result;
+  Result.Database = Task.Database;
+  Result.Attempts = Task.Attempts;
   if (Answer.State == SessionState::InTransaction)
     Result.Pinned = std::exchange(Task.Connection, 0);
   else
@@ -469,6 +472,31 @@
   finish(Work.Session, std::move(Result), Now);
 }
 
+bool StatementRunner::isAcknowledgeable(const Progress &Task,
+                                        TimePoint Now) const {
+  const LeadershipRecord *Record = Authority_.recordOf(Task.Work.Group);
+  return Record && Record->Revision == Task.Leadership &&
+         Authority_.mayAcknowledge(Task.Work.Group, Task.Database, Now);
+}
+
+/// A leadership that has just lapsed may be confirmed a moment later, which
+/// proves that no other database led when the commit was made.
+void StatementRunner::confirmCommit(Progress &Task, TimePoint Now) {
+  StatementResult Result;
+  Result.Database = Task.Database;
+  Result.Attempts = Task.Attempts;
+  const LeadershipRecord *Record = Authority_.recordOf(Task.Work.Group);
+  bool Replaced = !Record || Record->Revision != Task.Leadership;
+  if (isAcknowledgeable(Task, Now))
+    Result.Answer = std::move(Task.Held);
+  else if (Replaced || Now >= Task.Work.Deadline)
+    Result.Answer = errorAnswer(StatementCode::InDoubt,
+                                "the primary may have been replaced");
+  else
+    return;
+  finish(Task.Work.Session, std::move(Result), Now);
+}
+
 /// True when the leader itself lacks the session's own write: a promotion has
 /// rolled it back.
 bool StatementRunner::ownWriteIsLost(const Progress &Task,
@@ -614,6 +642,10 @@
 /// A statement without an answer at its deadline. One that was sent leaves its
 /// connection in doubt, so the connection is closed.
 void StatementRunner::expire(Progress &Task, TimePoint Now) {
+  if (Task.At == Stage::Confirming) {
+    confirmCommit(Task, Now);
+    return;
+  }
   if (Task.At == Stage::Waiting || Task.At == Stage::Beginning) {
     if (Task.At == Stage::Beginning) {
       Table_.onFailure(Task.Database, false, Now);
@@ -670,7 +702,15 @@
         Hopeless.emplace_back(Session, *Start);
   }
   for (const auto &[Session, Start] : Hopeless)
-    refuse(Works_.at(Session), Start, Now);
+    if (auto Task = Works_.find(Session); Task != Works_.end())
+      refuse(Task->second, Start, Now);
+  std::vector<CallerSessionId> Unconfirmed;
+  for (const auto &[Session, Task] : Works_)
+    if (Task.At == Stage::Confirming)
+      Unconfirmed.push_back(Session);
+  for (CallerSessionId Session : Unconfirmed)
+    if (auto Task = Works_.find(Session); Task != Works_.end())
+      confirmCommit(Task->second, Now);
   for (CallerSessionId Session : Late) {
     auto Task = Works_.find(Session);
     if (Task != Works_.end())
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -114,7 +114,8 @@
   std::size_t inProgress() const { return Works_.size(); }
 
 private:
-  enum class Stage { Waiting, Beginning, Running };
+  /// Confirming: a commit was answered, and its leader must be confirmed.
+  enum class Stage { Waiting, Beginning, Running, Confirming };
   struct Progress {
     StatementWork Work;
     Stage At = Stage::Waiting;
@@ -124,6 +125,10 @@
     std::optional<Position> Floor;
     std::uint32_t Attempts = 0;
     TimePoint SentAt;
+    /// Revision of the leadership under which it was sent.
+    std::uint64_t Leadership = 0;
+    /// Confirming: the answer that is held back.
+    StatementAnswer Held;
   };
   struct Expected {
     CommandVerb Verb = CommandVerb::Forward;
@@ -164,6 +169,9 @@
 
   void onBegun(Progress &Task, const StatementAnswer &Answer, TimePoint Now);
   void onForwarded(Progress &Task, StatementAnswer Answer, TimePoint Now);
+  bool isAcknowledgeable(const Progress &Task, TimePoint Now) const;
+  /// Passes on a commit's answer if its leader is confirmed by now.
+  void confirmCommit(Progress &Task, TimePoint Now);
   /// The database did not run the statement: another try is made, or the
   /// caller gets the code.
   void retryOrFinish(Progress &Task, StatementAnswer Answer, TimePoint Now);
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(doesNotPromoteWhileOneHostIsCutOff);
   CPPUNIT_TEST(servesPrimariesWhileTheStoreIsDown);
   CPPUNIT_TEST(promotesAlthoughAHostIsPaused);
+  CPPUNIT_TEST(leavesOthersAloneWhenACallerGoesDuringItsCommit);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -261,6 +262,44 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->promotions());
     CPPUNIT_ASSERT(Sim->violations().empty());
   }
+
+  // The connection of a commit that waits for its leader to be confirmed is
+  // already another caller's: it must not be rolled back for the first one.
+  void leavesOthersAloneWhenACallerGoesDuringItsCommit() {
+    std::size_t Confirming = 0;
+    for (int Offset = 600; Offset < 1100; Offset += 5) {
+      auto Sim = started();
+      CallerSessionId Writer = Sim->open(0, "primary");
+      CallerSessionId Reader = Sim->open(0, "bounded");
+      Sim->ask(0, Reader, Verb::Read);
+      Sim->ask(0, Writer, Verb::Begin);
+      Sim->ask(0, Writer, Verb::Write);
+      Sim->cutHostFromStore(0, true);
+      Sim->cutHosts(0, 1, true);
+      Sim->cutHosts(0, 2, true);
+      Sim->cutHostFromDatabase(0, "b", true);
+      Sim->cutHostFromDatabase(0, "c", true);
+      Sim->run(Milliseconds{Offset});
+      Sim->send(0, Writer, Verb::Commit);
+      Sim->run(Milliseconds{20});
+      if (Sim->answerOf(Writer))
+        continue;
+      Sim->send(0, Reader, Verb::BeginRead);
+      Sim->run(Milliseconds{5});
+      Sim->send(0, Reader, Verb::Read);
+      Sim->run(Milliseconds{40});
+      if (!Sim->answerOf(Reader) || Sim->answerOf(Writer))
+        continue;
+      ++Confirming;
+      Sim->engine(0).sessions().close(Writer, Sim->now());
+      Sim->run(Milliseconds{20});
+      StatementAnswer Second = Sim->ask(0, Reader, Verb::Read);
+      CPPUNIT_ASSERT(Second.Code == Code::Done);
+      CPPUNIT_ASSERT(Second.State == SessionState::InTransaction);
+      CPPUNIT_ASSERT(Sim->executions().back().InTransaction);
+    }
+    CPPUNIT_ASSERT(Confirming > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionServiceTest);
