Refuse statements while a promotion is known to take long

Change: a promotion is expected to take longer while a listed host is not heard from, and counts as overdue 0.3 s after its time.

--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -94,6 +94,11 @@
   return Live;
 }
 
+bool HostTable::allListedLive(TimePoint Now) const {
+  return std::all_of(Listed_.begin(), Listed_.end(),
+                     [&](const HostName &Name) { return isLive(Name, Now); });
+}
+
 std::vector<HostName> HostTable::storeHosts(TimePoint Now) const {
   std::vector<HostName> Live = liveHosts(Now);
   std::erase_if(Live, [&](const HostName &Name) {
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -84,6 +84,8 @@
   bool isLive(const HostName &Host, TimePoint Now) const;
   /// Hosts that are live, this one included, in the order of their names.
   std::vector<HostName> liveHosts(TimePoint Now) const;
+  /// True when every host that the platform lists is heard from.
+  bool allListedLive(TimePoint Now) const;
   /// Live hosts that reach the store, this one included.
   std::vector<HostName> storeHosts(TimePoint Now) const;
   /// Hosts that may hold connections to databases: live or listed lately.
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -57,6 +57,11 @@
 constexpr Milliseconds VerifyTimeout{4000};
 /// Longer than any promotion takes.
 constexpr Milliseconds UnchangedDelay{1800};
+/// Typical time to pause the members.
+constexpr Milliseconds PauseTime{100};
+/// A promotion that takes longer than expected by this is in trouble.
+constexpr Milliseconds OverdueSlack{300};
+constexpr Milliseconds OverdueRetry{1500};
 /// A leadership that is not confirmed for lack of a store.
 constexpr Milliseconds UnconfirmedRetry{1000};
 
@@ -722,7 +727,13 @@
     if (Found != Efforts_.end() &&
         Found->second.SeenRevision != Record->Revision)
       Since = Now;
-    TimePoint Expected = Since + FollowTime + PromotionTime;
+    // A host that is listed but not heard from has to be waited out.
+    Milliseconds Wait = Hosts_.allListedLive(Now)
+                            ? FollowTime
+                            : FollowTimeout + PauseTime + LeadershipValidity;
+    TimePoint Expected = Since + Wait + PromotionTime;
+    if (Now > Expected + OverdueSlack)
+      return OverdueRetry;
     return std::max(Milliseconds{100}, toMilliseconds(Expected - Now));
   }
   std::optional<TimePoint> Confirmed = Authority_.confirmedAt(Group);
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(leavesARecordThatWasSettledMeanwhile);
   CPPUNIT_TEST(leavesALeaderWhoseFailuresAreOld);
   CPPUNIT_TEST(leavesALeaderThatAnswersTheComparison);
+  CPPUNIT_TEST(tellsWhenALeaderIsExpected);
   CPPUNIT_TEST(renewsItsDutyWithTheSameToken);
   CPPUNIT_TEST(leavesTheDutyToAnActiveHolder);
   CPPUNIT_TEST_SUITE_END();
@@ -248,6 +249,26 @@
     CPPUNIT_ASSERT(Written_.empty());
   }
 
+  // Statements were held until their time-out while a promotion waited for a
+  // host that was gone.
+  void tellsWhenALeaderIsExpected() {
+    list({"a", "b"});
+    lead("a", 3);
+    LeadershipRecord Claim;
+    Claim.Group = "g";
+    Claim.Leader = "b";
+    Claim.Phase = LeadershipPhase::Promoting;
+    Claim.Revision = 2;
+    Authority_.confirm(Claim, Now_);
+    System_.tick(Now_);
+    CPPUNIT_ASSERT(*System_.leaderExpectedIn("g", Now_) < Milliseconds{1000});
+    Hosts_.applyListed({{"self", "x"}, {"gone", "y"}}, Now_);
+    CPPUNIT_ASSERT(*System_.leaderExpectedIn("g", Now_) > Milliseconds{1500});
+    // Overdue: nobody knows when, so nothing is held.
+    TimePoint Late = Now_ + Milliseconds{4000};
+    CPPUNIT_ASSERT(*System_.leaderExpectedIn("g", Late) > Milliseconds{1000});
+  }
+
   void renewsItsDutyWithTheSameToken() {
     PromotionDuty Own{"self", 7, 9, 50};
     System_.onDuty(Own, Now_);
