Move schedule, stop and messages between hosts out of the adapter

platform/ shall only translate. Who reads the records, when hosts tell each other, when lists are refreshed and the steps of a stop are decisions: they are packages/sessions/hostschedule now, with tests. Line streams, the clock and datagrams between hosts are the product's own and moved to packages/protocol.

--- a/platform/bootclock.cpp
+++ b/packages/protocol/bootclock.cpp
@@ -1,4 +1,4 @@
-#include "platform/bootclock.h"
+#include "protocol/bootclock.h"
 
 #include <ctime>
 
--- a/platform/bootclock.h
+++ b/packages/protocol/bootclock.h
@@ -1,5 +1,5 @@
-#ifndef NUTMEGLOOM_PLATFORM_BOOTCLOCK_H
-#define NUTMEGLOOM_PLATFORM_BOOTCLOCK_H
+#ifndef NUTMEGLOOM_PROTOCOL_BOOTCLOCK_H
+#define NUTMEGLOOM_PROTOCOL_BOOTCLOCK_H
 
 #include "core/types.h"
 
@@ -11,4 +11,4 @@
 
 } // namespace nutmegloom
 
-#endif // NUTMEGLOOM_PLATFORM_BOOTCLOCK_H
+#endif // NUTMEGLOOM_PROTOCOL_BOOTCLOCK_H
--- /dev/null
+++ b/packages/protocol/hostmessenger.cpp
@@ -0,0 +1,58 @@
+#include "protocol/hostmessenger.h"
+
+#include "protocol/hostobservationcodec.h"
+#include "protocol/linestream.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace nutmegloom {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+HostMessenger::HostMessenger(asio::io_context &Io, Hooks Functions)
+    : Socket_(Io), Functions_(std::move(Functions)) {}
+
+std::string HostMessenger::open(const std::string &Ip, std::uint16_t Port) {
+  boost::system::error_code Error;
+  udp::endpoint Local(asio::ip::make_address(Ip, Error), Port);
+  if (!Error)
+    Socket_.open(udp::v4(), Error);
+  if (!Error)
+    Socket_.bind(Local, Error);
+  if (!Error)
+    Socket_.non_blocking(true, Error);
+  if (Error)
+    return Error.message();
+  receive();
+  return {};
+}
+
+void HostMessenger::receive() {
+  Socket_.async_receive_from(
+      asio::buffer(Buffer_), Sender_, [this](auto Error, auto Count) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (!Error) {
+          auto Read = decodeObservation({Buffer_.data(), Count});
+          if (auto *Message = std::get_if<HostObservation>(&Read))
+            Functions_.Received(*Message);
+          else
+            Functions_.Unreadable(std::get<ObservationError>(Read).Detail);
+        }
+        receive();
+      });
+}
+
+void HostMessenger::send(const std::string &Address,
+                         const HostObservation &Message) {
+  std::optional<asio::ip::tcp::endpoint> To = endpointOf(Address);
+  if (!To)
+    return;
+  std::string Bytes = encodeObservation(Message);
+  boost::system::error_code Ignored;
+  Socket_.send_to(asio::buffer(Bytes), udp::endpoint(To->address(), To->port()),
+                  0, Ignored);
+}
+
+} // namespace nutmegloom
--- a/platform/linestream.cpp
+++ b/packages/protocol/linestream.cpp
@@ -1,6 +1,4 @@
-#include "platform/linestream.h"
-
-#include "platform/linecodec.h"
+#include "protocol/linestream.h"
 
 #include <boost/asio/post.hpp>
 
@@ -95,7 +93,7 @@
   }
   if (!Open_)
     return;
-  if (Input.size() > line::MaximumLineBytes) {
+  if (Input.size() > MaximumLineBytes) {
     fail();
     return;
   }
--- a/platform/linestream.h
+++ b/packages/protocol/linestream.h
@@ -1,5 +1,5 @@
-#ifndef NUTMEGLOOM_PLATFORM_LINESTREAM_H
-#define NUTMEGLOOM_PLATFORM_LINESTREAM_H
+#ifndef NUTMEGLOOM_PROTOCOL_LINESTREAM_H
+#define NUTMEGLOOM_PROTOCOL_LINESTREAM_H
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -11,6 +11,9 @@
 
 namespace nutmegloom {
 
+/// Greatest length of a line, in bytes.
+constexpr std::size_t MaximumLineBytes = 1024 * 1024;
+
 /// A TCP connection that carries lines. It keeps itself alive while an
 /// operation is in progress; after close no handler is called any more.
 class LineStream : public std::enable_shared_from_this<LineStream> {
@@ -62,4 +65,4 @@
 
 } // namespace nutmegloom
 
-#endif // NUTMEGLOOM_PLATFORM_LINESTREAM_H
+#endif // NUTMEGLOOM_PROTOCOL_LINESTREAM_H
--- /dev/null
+++ b/packages/sessions/hostschedule.cpp
@@ -0,0 +1,141 @@
+#include "sessions/hostschedule.h"
+
+#include <algorithm>
+
+namespace nutmegloom {
+
+namespace {
+
+constexpr Milliseconds ObservationInterval{250};
+/// Traffic between regions is narrow and paid for.
+constexpr Milliseconds DistantObservationInterval{500};
+/// Interval at which one host of a region reads the leadership records.
+constexpr Milliseconds RecordsInterval{350};
+/// Age of a leadership from which any host reads the records itself.
+constexpr Milliseconds RecordsAgeLimit{680};
+constexpr Milliseconds HostsListInterval{10000};
+constexpr Milliseconds FirstHostsListInterval{1500};
+constexpr std::size_t CloseWatchers = 2;
+constexpr Milliseconds CloseWatch{2000};
+constexpr Milliseconds DistantWatch{10000};
+constexpr Milliseconds RefreshInterval{500};
+/// The platform takes a host out of rotation after two failed questions, one a
+/// second.
+constexpr Milliseconds RotationDelay{2300};
+/// Left for the last answers before the process is ended.
+constexpr Milliseconds StopMargin{600};
+
+} // namespace
+
+HostSchedule::HostSchedule(HostName Self, RegionName Region,
+                           const SessionEngine &Engine)
+    : Self_(std::move(Self)), Region_(std::move(Region)), Engine_(Engine) {}
+
+bool HostSchedule::isFirstOfRegion(TimePoint Now) const {
+  const auto &Peers = Engine_.hosts().peers();
+  for (const HostName &Name : Engine_.hosts().storeHosts(Now)) {
+    if (Name == Self_)
+      return true;
+    auto Peer = Peers.find(Name);
+    if (Peer != Peers.end() && Peer->second.Region == Region_)
+      return false;
+  }
+  return true;
+}
+
+bool HostSchedule::isRecordsReadDue(TimePoint Now) const {
+  if (ReadingRecords_ || !Registered_ || Now - RecordsReadAt_ < RecordsInterval)
+    return false;
+  if (!RecordsKnown_ || isFirstOfRegion(Now))
+    return true;
+  for (const GroupId &Group : Engine_.databases().groups()) {
+    std::optional<TimePoint> At = Engine_.authority().confirmedAt(Group);
+    if (!At || Now - *At > RecordsAgeLimit)
+      return true;
+  }
+  return false;
+}
+
+void HostSchedule::onRecordsReadBegun(TimePoint Now) {
+  ReadingRecords_ = true;
+  RecordsReadAt_ = Now;
+}
+
+PeerScope HostSchedule::onRecordsRead(bool Succeeded, TimePoint Now) {
+  ReadingRecords_ = false;
+  RecordsKnown_ |= Succeeded;
+  return Succeeded && isFirstOfRegion(Now) ? PeerScope::SameRegion
+                                           : PeerScope::None;
+}
+
+PeerScope HostSchedule::observationsDue(TimePoint Now) const {
+  if (Now - DistantSentAt_ >= DistantObservationInterval)
+    return PeerScope::All;
+  if (Now - SentAt_ >= ObservationInterval)
+    return PeerScope::SameRegion;
+  return PeerScope::None;
+}
+
+void HostSchedule::onObservationsSent(PeerScope Scope, TimePoint Now) {
+  SentAt_ = Now;
+  if (Scope != PeerScope::All)
+    return;
+  DistantSentAt_ = Now;
+  HasNews_ = false;
+}
+
+bool HostSchedule::isHostsListDue(TimePoint Now) const {
+  Milliseconds Interval = Engine_.hosts().peers().empty()
+                              ? FirstHostsListInterval
+                              : HostsListInterval;
+  return Registered_ && Now - HostsListedAt_ >= Interval;
+}
+
+Milliseconds HostSchedule::watchWait(TimePoint Now) const {
+  std::vector<HostName> Live = Engine_.hosts().liveHosts(Now);
+  auto Rank = std::find(Live.begin(), Live.end(), Self_) - Live.begin();
+  bool Close = static_cast<std::size_t>(Rank) < CloseWatchers;
+  return Close ? CloseWatch : DistantWatch;
+}
+
+HostSchedule::Refresh HostSchedule::refreshDue(TimePoint Now) {
+  if (Now - RefreshedAt_ < RefreshInterval)
+    return {};
+  Refresh Found;
+  const auto &Peers = Engine_.hosts().peers();
+  for (const HostName &Name : Engine_.hosts().liveHosts(Now)) {
+    auto Peer = Peers.find(Name);
+    if (Peer == Peers.end())
+      continue;
+    Found.Configuration |= Peer->second.ConfigurationVersion >
+                           Engine_.sessions().configuration().Version;
+    Found.Databases |=
+        Peer->second.DatabaseListRevision > Engine_.databaseListRevision();
+  }
+  if (!Found.Configuration && !Found.Databases)
+    return {};
+  RefreshedAt_ = Now;
+  Refresh Due{Found.Configuration && Old_.Configuration,
+              Found.Databases && Old_.Databases};
+  Old_ = Found;
+  return Due;
+}
+
+void GracefulStop::begin(TimePoint Now) {
+  if (!Since_)
+    Since_ = Now;
+}
+
+/// Sessions stay until callers no longer arrive here, then close when they are
+/// idle. Open transactions have half of the grace.
+GracefulStop::Step GracefulStop::step(std::size_t Sessions,
+                                      TimePoint Now) const {
+  Duration Stopping = Now - *Since_;
+  if (Stopping >= Grace_ - StopMargin)
+    return Sessions == 0 ? Step::Finished : Step::OutOfTime;
+  if (Stopping >= Grace_ / 2)
+    return Sessions == 0 ? Step::Finished : Step::EndTransactions;
+  return Stopping >= RotationDelay ? Step::CloseIdle : Step::Serve;
+}
+
+} // namespace nutmegloom
--- a/testing/standinsessions/sessiondatabases.h
+++ b/testing/standinsessions/sessiondatabases.h
@@ -1,7 +1,7 @@
 #ifndef NUTMEGLOOM_TESTING_STANDINSESSIONS_SESSIONDATABASES_H
 #define NUTMEGLOOM_TESTING_STANDINSESSIONS_SESSIONDATABASES_H
 
-#include "platform/linestream.h"
+#include "protocol/linestream.h"
 
 #include <boost/asio/io_context.hpp>
 
--- /dev/null
+++ b/tests/sessions/hostscheduletest.cpp
@@ -0,0 +1,88 @@
+#include "sessions/hostschedule.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+class HostScheduleTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HostScheduleTest);
+  CPPUNIT_TEST(readsRecordsOnlyOnceItIsListed);
+  CPPUNIT_TEST(leavesReadingToTheFirstHostOfItsRegion);
+  CPPUNIT_TEST(listsAgainWhenAnotherHostIsAhead);
+  CPPUNIT_TEST(stopsInSteps);
+  CPPUNIT_TEST_SUITE_END();
+
+  TimePoint Now_{std::chrono::hours(1)};
+  SessionEngine Engine_{
+      "h2",   7, "x", "r", [](const ZoneName &) { return Distance::SameZone; },
+      hooks()};
+  HostSchedule Schedule_{"h2", "r", Engine_};
+
+  static SessionEngine::Hooks hooks() {
+    SessionEngine::Hooks Hooks;
+    Hooks.LeadershipChanged = [](const LeadershipRecord &) {};
+    Hooks.Promotions.Report = [](const PromotionReport &) {};
+    return Hooks;
+  }
+
+  void hear(const HostName &Host, std::uint64_t Version) {
+    HostObservation Message;
+    Message.Host = Host;
+    Message.Region = "r";
+    Message.Incarnation = 1;
+    Message.SentAt = ++Sent_;
+    Message.ConfigurationVersion = Version;
+    Engine_.onObservation(Message, Now_);
+  }
+  std::uint64_t Sent_ = 0;
+
+  // A promoter that lists the hosts must find every host that reads records.
+  void readsRecordsOnlyOnceItIsListed() {
+    CPPUNIT_ASSERT(!Schedule_.isRecordsReadDue(Now_));
+    Schedule_.onRegistered();
+    CPPUNIT_ASSERT(Schedule_.isRecordsReadDue(Now_));
+    Schedule_.onRecordsReadBegun(Now_);
+    CPPUNIT_ASSERT(!Schedule_.isRecordsReadDue(Now_ + Milliseconds{400}));
+    CPPUNIT_ASSERT(Schedule_.onRecordsRead(true, Now_) ==
+                   PeerScope::SameRegion);
+    CPPUNIT_ASSERT(Schedule_.isRecordsReadDue(Now_ + Milliseconds{400}));
+  }
+
+  void leavesReadingToTheFirstHostOfItsRegion() {
+    Schedule_.onRegistered();
+    Schedule_.onRecordsReadBegun(Now_);
+    Schedule_.onRecordsRead(true, Now_);
+    Now_ += Milliseconds{400};
+    hear("h1", 0);
+    CPPUNIT_ASSERT(!Schedule_.isRecordsReadDue(Now_));
+    // The first host has gone: this one is the first again.
+    CPPUNIT_ASSERT(Schedule_.isRecordsReadDue(Now_ + Milliseconds{1300}));
+  }
+
+  // Its own watch may be silent for good.
+  void listsAgainWhenAnotherHostIsAhead() {
+    hear("h1", 5);
+    CPPUNIT_ASSERT(!Schedule_.refreshDue(Now_).Configuration);
+    Now_ += Milliseconds{600};
+    CPPUNIT_ASSERT(Schedule_.refreshDue(Now_).Configuration);
+  }
+
+  void stopsInSteps() {
+    using Step = GracefulStop::Step;
+    GracefulStop Stop(Milliseconds{6000});
+    CPPUNIT_ASSERT(!Stop.isStopping());
+    Stop.begin(Now_);
+    auto at = [&](int Millis, std::size_t Sessions) {
+      return Stop.step(Sessions, Now_ + Milliseconds{Millis});
+    };
+    CPPUNIT_ASSERT(at(1000, 3) == Step::Serve);
+    CPPUNIT_ASSERT(at(2500, 3) == Step::CloseIdle);
+    CPPUNIT_ASSERT(at(3100, 3) == Step::EndTransactions);
+    CPPUNIT_ASSERT(at(3100, 0) == Step::Finished);
+    CPPUNIT_ASSERT(at(5500, 3) == Step::OutOfTime);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostScheduleTest);
+
+} // namespace nutmegloom
