Split the promotion duty and the placing of statements into classes of their own

PromotionSystem and StatementRunner held two jobs each. DutyKeeper takes and shows the duty; StatementPlacing says where a statement may run and at what cost. toMilliseconds stood in four sources and is beside Duration now. No behaviour changes.

--- a/bench/policy/run.cpp
+++ b/bench/policy/run.cpp
@@ -18,10 +18,6 @@
                                           Kind == SystemKind::RandomReads);
 }
 
-static double toMilliseconds(Duration Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 static void count(RunFigures &Figures, const WorkItem &Item,
                   const WorkResult &Result) {
   ++Figures.Requests;
--- a/packages/core/replicachoice.cpp
+++ b/packages/core/replicachoice.cpp
@@ -24,10 +24,6 @@
   return !Request.Required && !Request.MaximumAge;
 }
 
-static double toMilliseconds(Duration Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 ReplicaChoice::ReplicaChoice(const Tables &Data, const Policy &Limits,
                              const GroupAccess &Access, Hooks Functions)
     : Data_(Data), Limits_(Limits), Access_(Access),
--- a/packages/core/scheduler.cpp
+++ b/packages/core/scheduler.cpp
@@ -21,10 +21,6 @@
 /// Time between two passes over the queue for work that is too late.
 static constexpr Milliseconds SweepInterval{5};
 
-static double toMilliseconds(Duration Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 static Milliseconds roundUp(double Value) {
   return Milliseconds(std::llround(std::ceil(Value)));
 }
--- a/packages/core/types.h
+++ b/packages/core/types.h
@@ -18,6 +18,11 @@
 using Duration = std::chrono::steady_clock::duration;
 using Milliseconds = std::chrono::milliseconds;
 
+/// A span of time as a number of milliseconds, with fractions.
+inline double toMilliseconds(Duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
 /// Name of a host, as in the platform's host list.
 using HostName = std::string;
 /// "service/number", for example "salas-db/0".
--- a/packages/sessions/databasetable.cpp
+++ b/packages/sessions/databasetable.cpp
@@ -12,10 +12,6 @@
 constexpr std::uint32_t MaximumAvoidanceDoublings = 4;
 constexpr Milliseconds FirstBehindPause{50};
 
-double toMilliseconds(Duration Time) {
-  return std::chrono::duration<double, std::milli>(Time).count();
-}
-
 } // namespace
 
 Milliseconds roundTripOf(Distance Away) {
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -27,17 +27,10 @@
 /// After a database that was thought to be demoted reports that it leads.
 constexpr Milliseconds DemotionGrace{2000};
 constexpr Milliseconds AskInterval{80};
-/// The holder of the duty may ask for promotions this long after it began to
-/// write the duty; it is shorter than ClaimTimeout, so two holders never ask at
-/// the same time.
-constexpr Milliseconds DutyValidity{2000};
-/// A duty or a claim of another host that shows no change may be taken over.
-constexpr Milliseconds ClaimTimeout{2500};
-/// The same for a claim whose holder is still heard from.
+/// The same as HolderTimeout, for a claim whose holder is still heard from.
 constexpr Milliseconds LiveClaimTimeout{6000};
 /// Left of the duty's validity when a promotion is begun.
 constexpr Milliseconds DutyReserve{1500};
-constexpr Milliseconds DutyRequestTimeout{1000};
 /// Name by which hosts are ranked for the duty.
 constexpr std::string_view DutyKey = "promotions";
 constexpr Milliseconds CallRetryInterval{150};
@@ -71,10 +64,6 @@
     "watching",  "comparing", "claiming", "waiting",
     "promoting", "verifying", "settling"};
 
-Milliseconds toMilliseconds(Duration Time) {
-  return std::chrono::duration_cast<Milliseconds>(Time);
-}
-
 } // namespace
 
 std::string_view nameOf(PromotionReason Reason) {
@@ -88,7 +77,7 @@
                                  const HostTable &Hosts,
                                  LeaderAuthority &Authority, Hooks Functions)
     : Table_(Table), Hosts_(Hosts), Authority_(Authority),
-      Functions_(std::move(Functions)) {}
+      Functions_(std::move(Functions)), Duty_(Hosts, Functions_.WriteDuty) {}
 
 void PromotionSystem::onRecordsListed(TimePoint Now) {
   (void)Now;
@@ -108,7 +97,7 @@
   Work.StageSince = Now;
   Work.AskedAt.reset();
   Functions_.Report(
-      {Group, Stage, Work.Reason, Work.Next, Duty_.Token, Detail});
+      {Group, Stage, Work.Reason, Work.Next, Duty_.duty().Token, Detail});
 }
 
 std::size_t PromotionSystem::rank(TimePoint Now) const {
@@ -117,57 +106,6 @@
   return static_cast<std::size_t>(Found - Ranked.begin());
 }
 
-void PromotionSystem::onDuty(const PromotionDuty &Shown, TimePoint Now) {
-  if (Shown.Revision <= Duty_.Revision)
-    return;
-  Duty_ = Shown;
-  DutySeenAt_ = Now;
-}
-
-bool PromotionSystem::holdsDuty(Duration Remaining, TimePoint Now) const {
-  return DutyWrittenAt_ && Duty_.Holder == Hosts_.self() &&
-         Duty_.Incarnation == Hosts_.incarnation() &&
-         Now + Remaining <= *DutyWrittenAt_ + DutyValidity;
-}
-
-bool PromotionSystem::mayTakeDuty(TimePoint Now) const {
-  bool Own = Duty_.Holder == Hosts_.self() &&
-             Duty_.Incarnation == Hosts_.incarnation();
-  return Duty_.Revision == 0 || Own || Now - DutySeenAt_ >= ClaimTimeout;
-}
-
-void PromotionSystem::requestDuty(TimePoint Now) {
-  if (DutyRequestedAt_ && Now - *DutyRequestedAt_ < DutyRequestTimeout)
-    return;
-  if (!mayTakeDuty(Now))
-    return;
-  PromotionDuty Next;
-  Next.Holder = Hosts_.self();
-  Next.Incarnation = Hosts_.incarnation();
-  bool Renews =
-      Duty_.Holder == Next.Holder && Duty_.Incarnation == Next.Incarnation;
-  Next.Token = Duty_.Token + (Renews ? 0 : 1);
-  DutyRequestedAt_ = Now;
-  Functions_.WriteDuty(Next, Duty_.Revision);
-}
-
-void PromotionSystem::onDutyWritten(WriteOutcome Outcome,
-                                    const PromotionDuty &Current,
-                                    TimePoint Now) {
-  if (!DutyRequestedAt_)
-    return;
-  TimePoint SentAt = *DutyRequestedAt_;
-  DutyRequestedAt_.reset();
-  if (Outcome != WriteOutcome::Written) {
-    // The next list of records shows whose it is.
-    DutyWrittenAt_.reset();
-    return;
-  }
-  onDuty(Current, Now);
-  if (Duty_.Revision == Current.Revision)
-    DutyWrittenAt_ = SentAt;
-}
-
 void PromotionSystem::tick(TimePoint Now) {
   for (const GroupId &Group : Table_.groups()) {
     Effort &Work = Efforts_[Group];
@@ -215,7 +153,7 @@
   if (Record->Phase == LeadershipPhase::Promoting) {
     bool Live =
         Record->Holder != Hosts_.self() && Hosts_.isLive(Record->Holder, Now);
-    Milliseconds Timeout = Live ? LiveClaimTimeout : ClaimTimeout;
+    Milliseconds Timeout = Live ? LiveClaimTimeout : HolderTimeout;
     if (Now - Work.SeenAt < Timeout + RankWait)
       return;
     Work.OldLeader.clear();
@@ -435,9 +373,9 @@
       enter(Group, Work, PromotionStage::Watching, Now, "no candidate");
     return;
   }
-  if (!holdsDuty(DutyReserve, Now)) {
-    requestDuty(Now);
-    if (Now - Work.StageSince > ClaimTimeout)
+  if (!Duty_.isHeld(DutyReserve, Now)) {
+    Duty_.request(Now);
+    if (Now - Work.StageSince > HolderTimeout)
       enter(Group, Work, PromotionStage::Watching, Now, "no duty");
     return;
   }
@@ -632,17 +570,17 @@
 void PromotionSystem::promote(const GroupId &Group, Effort &Work,
                               TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
-  if (!Record || Record->Revision != Work.Claim || !mayTakeDuty(Now)) {
+  if (!Record || Record->Revision != Work.Claim || !Duty_.mayTake(Now)) {
     enter(Group, Work, PromotionStage::Watching, Now, "taken by another host");
     return;
   }
-  if (!holdsDuty(Milliseconds{0}, Now)) {
-    requestDuty(Now);
+  if (!Duty_.isHeld(Milliseconds{0}, Now)) {
+    Duty_.request(Now);
     return;
   }
   Work.Called = true;
   enter(Group, Work, PromotionStage::Promoting, Now);
-  Functions_.Promote(Group, Work.Next, Duty_.Token);
+  Functions_.Promote(Group, Work.Next, Duty_.duty().Token);
 }
 
 void PromotionSystem::onPromoted(const GroupId &Group, PromotionOutcome Outcome,
@@ -734,7 +672,8 @@
     TimePoint Expected = Since + Wait + PromotionTime;
     if (Now > Expected + OverdueSlack)
       return OverdueRetry;
-    return std::max(Milliseconds{100}, toMilliseconds(Expected - Now));
+    return std::max(Milliseconds{100},
+                    std::chrono::duration_cast<Milliseconds>(Expected - Now));
   }
   std::optional<TimePoint> Confirmed = Authority_.confirmedAt(Group);
   if (!Confirmed || Now - *Confirmed > LeadershipValidity * 3 / 2)
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -2,6 +2,7 @@
 #define NUTMEGLOOM_SESSIONS_PROMOTIONSYSTEM_H
 
 #include "sessions/databasetable.h"
+#include "sessions/dutykeeper.h"
 #include "sessions/hosttable.h"
 #include "sessions/leaderauthority.h"
 
@@ -31,9 +32,6 @@
 };
 std::string_view nameOf(PromotionStage Stage);
 
-/// Outcome of a conditional write.
-enum class WriteOutcome { Written, Conflict, Unknown };
-
 /// Outcome of a call for a promotion.
 enum class PromotionOutcome { Accepted, NotRunning, Refused, Unknown };
 
@@ -61,10 +59,7 @@
     /// Replaces the record if its revision in the store is still Expected
     /// (zero: there is none). Ends in onWritten.
     std::function<void(const LeadershipRecord &, std::uint64_t Expected)> Write;
-    /// Replaces the duty if its revision in the store is still Expected (zero:
-    /// there is none). Ends in onDutyWritten.
-    std::function<void(const PromotionDuty &, std::uint64_t Expected)>
-        WriteDuty;
+    DutyKeeper::Write WriteDuty;
     /// Ends in onPromoted.
     std::function<void(const GroupId &, const DatabaseId &,
                        std::uint64_t Token)>
@@ -93,14 +88,8 @@
     SynchronousReplicas_[Group] = Count;
   }
 
-  /// The store, or a host that read it, shows the duty.
-  void onDuty(const PromotionDuty &Shown, TimePoint Now);
-  const PromotionDuty &duty() const { return Duty_; }
-  /// Conflict or no answer: Current has no revision.
-  void onDutyWritten(WriteOutcome Outcome, const PromotionDuty &Current,
-                     TimePoint Now);
-  /// True when this host is the first that would promote.
-  bool isFirst(TimePoint Now) const { return rank(Now) == 0; }
+  DutyKeeper &duty() { return Duty_; }
+  const DutyKeeper &duty() const { return Duty_; }
 
   void onWritten(const GroupId &Group, WriteOutcome Outcome,
                  const LeadershipRecord &Current, TimePoint Now);
@@ -157,10 +146,6 @@
                                   TimePoint Now) const;
   bool isUnreachable(const DatabaseView &Leader, TimePoint Now) const;
   std::size_t rank(TimePoint Now) const;
-  /// True when the duty is this host's for at least Remaining from now.
-  bool holdsDuty(Duration Remaining, TimePoint Now) const;
-  bool mayTakeDuty(TimePoint Now) const;
-  void requestDuty(TimePoint Now);
   void beginComparing(const GroupId &Group, Effort &Work,
                       PromotionReason Reason, TimePoint Now);
   void compare(const GroupId &Group, Effort &Work, TimePoint Now);
@@ -189,17 +174,12 @@
   const HostTable &Hosts_;
   LeaderAuthority &Authority_;
   Hooks Functions_;
+  DutyKeeper Duty_;
   bool RecordsListed_ = false;
   std::optional<TimePoint> ListTrustedSince_;
   std::optional<TimePoint> StoreReachedSince_;
   std::map<GroupId, std::uint32_t> SynchronousReplicas_;
   std::map<GroupId, Effort> Efforts_;
-  PromotionDuty Duty_;
-  /// When the duty's revision was first seen.
-  TimePoint DutySeenAt_;
-  /// Start of this host's latest write of the duty that succeeded.
-  std::optional<TimePoint> DutyWrittenAt_;
-  std::optional<TimePoint> DutyRequestedAt_;
 };
 
 } // namespace nutmegloom
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -186,7 +186,7 @@
       std::chrono::duration_cast<std::chrono::microseconds>(
           Now.time_since_epoch())
           .count());
-  Message.Duty = Promotions_.duty();
+  Message.Duty = Promotions_.duty().duty();
   auto Known = Hosts_.peers().find(Peer);
   if (Known != Hosts_.peers().end()) {
     Message.EchoIncarnation = Known->second.Incarnation;
@@ -199,7 +199,7 @@
                      followedRevision(Known->second, Group) == Record.Revision;
     if (std::optional<TimePoint> At = Authority_.confirmedAt(Group))
       Seen.ConfirmedAge = ageOf(*At, Now);
-    const PositionHistory *History = Runner_.historyOf(Group);
+    const PositionHistory *History = Runner_.placing().historyOf(Group);
     if (History && History->latest()) {
       Seen.LeaderLog = History->latest()->first;
       Seen.LeaderLogAge = ageOf(History->latest()->second, Now);
@@ -216,7 +216,7 @@
                                   TimePoint Now) {
   HostObservation Message = completed(Received);
   std::optional<TimePoint> SentAfter = Hosts_.onMessage(Message, Now);
-  Promotions_.onDuty(Message.Duty, Now);
+  Promotions_.duty().show(Message.Duty, Now);
   Runner_.pool().setHosts(Hosts_.connectionHolders(Now));
   if (!SentAfter)
     return;
@@ -228,8 +228,8 @@
     bool SameLeader = Current && Current->Revision == Seen.Record.Revision &&
                       Current->Phase == LeadershipPhase::Settled;
     if (Seen.LeaderLog && SameLeader)
-      Runner_.onLeaderPosition(Seen.Record.Group, *Seen.LeaderLog,
-                               *SentAfter - Seen.LeaderLogAge);
+      Runner_.placing().onLeaderPosition(Seen.Record.Group, *Seen.LeaderLog,
+                                         *SentAfter - Seen.LeaderLogAge);
   }
 }
 
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -15,8 +15,6 @@
 constexpr Milliseconds OrphanTimeout{2000};
 /// Work of a group that is looked at when one connection becomes free.
 constexpr std::size_t MaximumScan = 32;
-/// Added to the cost of a database in another region, whose link is narrow.
-constexpr double OtherRegionCostMilliseconds = 20;
 
 bool hasNotRun(StatementCode Code) {
   switch (Code) {
@@ -49,12 +47,7 @@
                                  LeaderAuthority &Authority,
                                  DatabasePool::Hooks PoolHooks, Hooks Functions)
     : Table_(Table), Authority_(Authority), Pool_(Table, std::move(PoolHooks)),
-      Functions_(std::move(Functions)) {}
-
-const PositionHistory *StatementRunner::historyOf(const GroupId &Group) const {
-  auto Found = Histories_.find(Group);
-  return Found == Histories_.end() ? nullptr : &Found->second;
-}
+      Placing_(Table, Authority), Functions_(std::move(Functions)) {}
 
 void StatementRunner::submit(StatementWork Work, TimePoint Now) {
   CallerSessionId Session = Work.Session;
@@ -176,57 +169,14 @@
   }
 }
 
-std::optional<Position> StatementRunner::floorOf(const StatementWork &Work,
-                                                 const GroupId &Group,
-                                                 TimePoint Now) const {
-  auto Found = Histories_.find(Group);
-  if (Found == Histories_.end())
-    return std::nullopt;
-  std::optional<Position> Floor = Found->second.floorFor(Work.MaximumAge, Now);
-  if (Floor && Work.OwnWrite)
-    return std::max(*Floor, *Work.OwnWrite);
-  return Floor;
-}
-
-/// Databases that may run the statement. The leader needs no floor: it has
-/// every commit. The others must hold the floor, and are left out while their
-/// last report shows that they don't.
-std::vector<StatementRunner::Place>
-StatementRunner::placesFor(const Progress &Task, TimePoint Now) const {
-  std::vector<Place> Places;
-  const StatementWork &Work = Task.Work;
-  std::optional<DatabaseId> Leader =
-      Authority_.leaderForSending(Work.Group, Now);
-  if (Leader) {
-    const DatabaseView *View = Table_.find(*Leader);
-    if (View && Now >= View->AvoidUntil && !Task.Avoided.contains(*Leader))
-      Places.push_back({*Leader, Work.OwnWrite});
-  }
-  if (Work.NeedsLeader)
-    return Places;
-  std::optional<Position> Floor = floorOf(Work, Work.Group, Now);
-  if (!Floor)
-    return Places;
-  for (const DatabaseView *View : std::as_const(Table_).membersOf(Work.Group)) {
-    bool Usable = !View->Listing.Draining && Now >= View->AvoidUntil &&
-                  View->Listing.Id != Leader &&
-                  !Task.Avoided.contains(View->Listing.Id);
-    bool Holds = View->Log && *View->Log >= *Floor;
-    if (Usable && (Holds || Now >= View->BehindUntil))
-      Places.push_back({View->Listing.Id, Floor});
-  }
-  return Places;
-}
-
-/// Expected time from sending a statement to its answer.
-double StatementRunner::costOf(const Place &Where) const {
-  const DatabaseView &View = *Table_.find(Where.Database);
-  double Slots = std::max(1U, View.Listing.Slots);
-  double Cost = static_cast<double>(roundTripOf(View.Away).count()) +
-                View.ServiceMilliseconds * (1 + View.InFlight / Slots);
-  if (View.Away == Distance::OtherRegion)
-    Cost += OtherRegionCostMilliseconds;
-  return Cost;
+std::vector<Place> StatementRunner::placesFor(const Progress &Task,
+                                              TimePoint Now) const {
+  PlacingNeeds Needs;
+  Needs.Group = Task.Work.Group;
+  Needs.Leader = Task.Work.NeedsLeader;
+  Needs.MaximumAge = Task.Work.MaximumAge;
+  Needs.OwnWrite = Task.Work.OwnWrite;
+  return Placing_.placesFor(Needs, Task.Avoided, Now);
 }
 
 bool StatementRunner::tryStart(Progress &Task, TimePoint Now) {
@@ -241,10 +191,10 @@
       if (!Pool_.mayOpen(Candidate.Database, Urgent, Now))
         continue;
     }
-    if (!Slot || costOf(Candidate) < costOf(*Slot))
+    if (!Slot || Placing_.costOf(Candidate) < Placing_.costOf(*Slot))
       Slot = &Candidate;
   }
-  if (ToOpen && (!Best || costOf(*ToOpen) < costOf(*Best)))
+  if (ToOpen && (!Best || Placing_.costOf(*ToOpen) < Placing_.costOf(*Best)))
     Pool_.open(ToOpen->Database, Now);
   if (!Best)
     return false;
@@ -312,8 +262,8 @@
   if (!View)
     return;
   GroupId Group = View->Listing.Group;
-  if (Log && Authority_.mayAcknowledge(Group, *Database, Now))
-    Histories_[Group].add(*Log, BegunAt);
+  if (Log)
+    Placing_.onPosition(*Database, *Log, BegunAt, Now);
   pump(Group, Now);
 }
 
@@ -383,10 +333,8 @@
   if (occupiesSlot(Answered.Verb))
     Table_.onEnded(Database);
   Table_.onAnswer(Database, Answer.Log, Answered.SentAt);
-  const DatabaseView *View = Table_.find(Database);
-  if (View && Answer.Log &&
-      Authority_.mayAcknowledge(View->Listing.Group, Database, Now))
-    Histories_[View->Listing.Group].add(*Answer.Log, Answered.SentAt);
+  if (Answer.Log)
+    Placing_.onPosition(Database, *Answer.Log, Answered.SentAt, Now);
 
   auto Task = Works_.find(Found->second.Session);
   bool Owned = Task != Works_.end() && Task->second.Connection == Connection;
@@ -630,15 +578,10 @@
 }
 
 void StatementRunner::onLeaderChanged(const GroupId &Group, TimePoint Now) {
-  Histories_[Group].clear();
+  Placing_.onLeaderChanged(Group);
   pump(Group, Now);
 }
 
-void StatementRunner::onLeaderPosition(const GroupId &Group, Position Log,
-                                       TimePoint BegunAt) {
-  Histories_[Group].add(Log, BegunAt);
-}
-
 /// A statement without an answer at its deadline. One that was sent leaves its
 /// connection in doubt, so the connection is closed.
 void StatementRunner::expire(Progress &Task, TimePoint Now) {
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -3,7 +3,7 @@
 
 #include "sessions/databasepool.h"
 #include "sessions/leaderauthority.h"
-#include "sessions/positionhistory.h"
+#include "sessions/statementplacing.h"
 #include "sessions/statementqueue.h"
 
 #include <deque>
@@ -99,8 +99,6 @@
   void pump(const GroupId &Group, TimePoint Now);
   /// Forgets what was known of the leader's log.
   void onLeaderChanged(const GroupId &Group, TimePoint Now);
-  /// Another host's sample of the leader's log.
-  void onLeaderPosition(const GroupId &Group, Position Log, TimePoint BegunAt);
   void tick(TimePoint Now);
 
   /// Start of the oldest exchange of each database that has answered nothing
@@ -108,7 +106,8 @@
   std::map<DatabaseId, TimePoint> unansweredSince() const;
 
   DatabasePool &pool() { return Pool_; }
-  const PositionHistory *historyOf(const GroupId &Group) const;
+  const StatementPlacing &placing() const { return Placing_; }
+  StatementPlacing &placing() { return Placing_; }
   std::size_t connections() const { return Pool_.total(); }
   std::size_t waiting() const { return Queue_.size(); }
   std::size_t inProgress() const { return Works_.size(); }
@@ -143,11 +142,6 @@
     /// Values were changed inside the open transaction.
     bool SetInTransaction = false;
   };
-  struct Place {
-    DatabaseId Database;
-    std::optional<Position> Floor;
-  };
-
   void send(ConnectionId Connection, const DatabaseCommand &Command,
             TimePoint Now);
   void matchProfile(ConnectionId Connection, const StatementWork &Work,
@@ -158,9 +152,6 @@
                TimePoint Now);
   void forward(Progress &Task, TimePoint Now);
   std::vector<Place> placesFor(const Progress &Task, TimePoint Now) const;
-  std::optional<Position> floorOf(const StatementWork &Work,
-                                  const GroupId &Group, TimePoint Now) const;
-  double costOf(const Place &Where) const;
   /// When the statement may start, if that is known to be too late for it.
   std::optional<Milliseconds> tooLateBy(const Progress &Task,
                                         TimePoint Now) const;
@@ -191,11 +182,11 @@
   DatabaseTable &Table_;
   LeaderAuthority &Authority_;
   DatabasePool Pool_;
+  StatementPlacing Placing_;
   Hooks Functions_;
   StatementQueue Queue_;
   std::map<CallerSessionId, Progress> Works_;
   std::map<ConnectionId, Link> Links_;
-  std::map<GroupId, PositionHistory> Histories_;
 };
 
 } // namespace nutmegloom
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -85,7 +85,7 @@
       if (!Duties_.empty() && !std::exchange(DutyAnswered_, true)) {
         PromotionDuty Current = Duties_.back();
         Current.Revision = ++Revision_;
-        System_.onDutyWritten(WriteOutcome::Written, Current, Now_);
+        System_.duty().onWritten(WriteOutcome::Written, Current, Now_);
       }
       if (Answered_ < Written_.size()) {
         LeadershipRecord Current = Written_[Answered_++];
@@ -213,7 +213,7 @@
     report("a", DatabaseRole::Replica, 3, 10);
     report("b", DatabaseRole::Replica, 3, 10);
     run(Milliseconds{1500});
-    System_.onDuty({"other", 1, 4, 50}, Now_);
+    System_.duty().show({"other", 1, 4, 50}, Now_);
     run(Milliseconds{1500});
     CPPUNIT_ASSERT(System_.stageOf("g") == PromotionStage::Comparing);
     Record.Phase = LeadershipPhase::Settled;
@@ -271,7 +271,7 @@
 
   void renewsItsDutyWithTheSameToken() {
     PromotionDuty Own{"self", 7, 9, 50};
-    System_.onDuty(Own, Now_);
+    System_.duty().show(Own, Now_);
     list({"b"});
     lead("a", 3);
     report("b", DatabaseRole::Replica, 3, 10);
@@ -284,7 +284,7 @@
     list({"b"});
     lead("a", 3);
     report("b", DatabaseRole::Replica, 3, 10);
-    System_.onDuty({"other", 1, 4, 50}, Now_);
+    System_.duty().show({"other", 1, 4, 50}, Now_);
     run(Milliseconds{2000});
     CPPUNIT_ASSERT(Duties_.empty());
     run(Milliseconds{4000});
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -243,12 +243,12 @@
             Outcome = WriteOutcome::Written;
           }
           return [this, Index, Outcome, Current] {
-            Hosts_[Index]->Engine->promotions().onDutyWritten(Outcome, Current,
-                                                              Now_);
+            Hosts_[Index]->Engine->promotions().duty().onWritten(Outcome,
+                                                                 Current, Now_);
           };
         },
         [this, Index] {
-          Hosts_[Index]->Engine->promotions().onDutyWritten(
+          Hosts_[Index]->Engine->promotions().duty().onWritten(
               WriteOutcome::Unknown, {}, Now_);
         });
   };
@@ -330,7 +330,7 @@
           Host &Reader = *Hosts_[Index];
           Reader.Reading = false;
           Reader.Engine->setReachesStore(true, Now_);
-          Reader.Engine->promotions().onDuty(Duty, Now_);
+          Reader.Engine->promotions().duty().show(Duty, Now_);
           Reader.Engine->applyRecords(Shown, BegunAt, Now_);
           Reader.Engine->applyDatabases(Listed, ListRevision, Now_);
           Reader.Engine->promotions().setListTrustedSince(TimePoint{});
