Let any host write the end of a lost holder's promotion

Ruled out: a slow promotion (the database led 0.6 s after the call).

Change: a host that sees the claimed leader listed as primary asks it, and writes the end if it reports the claimed term; members are paused at once when a listed host is not heard from.

--- a/packages/protocol/hostmessenger.h
+++ b/packages/protocol/hostmessenger.h
@@ -29,7 +29,7 @@
 private:
   void receive();
 
-  static constexpr std::size_t MaximumDatagramBytes = 64 * 1024;
+  static constexpr std::size_t MaximumDatagramBytes = std::size_t{64} * 1024;
 
   boost::asio::ip::udp::socket Socket_;
   Hooks Functions_;
--- a/packages/protocol/hostobservationcodec.cpp
+++ b/packages/protocol/hostobservationcodec.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::int32_t NoAge = -1;
 /// Words that a received message may make the reader walk through.
-constexpr std::uint64_t TraversalLimitWords = 64 * 1024;
+constexpr std::uint64_t TraversalLimitWords = std::uint64_t{64} * 1024;
 
 std::int32_t ageField(const std::optional<Milliseconds> &Age) {
   return Age ? static_cast<std::int32_t>(Age->count()) : NoAge;
--- a/packages/protocol/linestream.cpp
+++ b/packages/protocol/linestream.cpp
@@ -15,9 +15,9 @@
 namespace {
 
 constexpr std::string_view LineEnd = "\r\n";
-constexpr std::size_t ReadBytes = 32 * 1024;
+constexpr std::size_t ReadBytes = std::size_t{32} * 1024;
 /// Text that a peer does not take is bounded by this.
-constexpr std::size_t MaximumOutputBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaximumOutputBytes = std::size_t{4} * 1024 * 1024;
 
 } // namespace
 
--- a/packages/protocol/linestream.h
+++ b/packages/protocol/linestream.h
@@ -12,7 +12,7 @@
 namespace nutmegloom {
 
 /// Greatest length of a line, in bytes.
-constexpr std::size_t MaximumLineBytes = 1024 * 1024;
+constexpr std::size_t MaximumLineBytes = std::size_t{1024} * 1024;
 
 /// A TCP connection that carries lines. It keeps itself alive while an
 /// operation is in progress; after close no handler is called any more.
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -22,6 +22,9 @@
 /// Each host waits longer by this than the one ranked before it.
 constexpr Milliseconds RankDelay{400};
 constexpr Milliseconds CompareTimeout{300};
+/// The holder of a claim writes the end of its promotion within this time.
+constexpr Milliseconds HelpDelay{250};
+constexpr Milliseconds HelpRankDelay{120};
 /// Hosts that follow the claim within this time need not be waited out.
 constexpr Milliseconds FollowTimeout{200};
 /// After a database that was thought to be demoted reports that it leads.
@@ -151,6 +154,15 @@
     return;
   Milliseconds RankWait = RankDelay * rank(Now);
   if (Record->Phase == LeadershipPhase::Promoting) {
+    if (maySettleForHolder(*Record, Work, Now)) {
+      Work.Next = Record->Leader;
+      Work.Claim = Record->Revision;
+      Work.Helping = true;
+      Work.Accepted = false;
+      Work.Reports.clear();
+      enter(Group, Work, PromotionStage::Verifying, Now, "for the holder");
+      return;
+    }
     bool Live =
         Record->Holder != Hosts_.self() && Hosts_.isLive(Record->Holder, Now);
     Milliseconds Timeout = Live ? LiveClaimTimeout : HolderTimeout;
@@ -175,6 +187,21 @@
   beginComparing(Group, Work, Reason, Now);
 }
 
+/// True when the platform lists the claimed leader as primary and the holder of
+/// the claim has not said so: it may be lost. What the holder had to wait for
+/// was over before it called, so any host may write the end of its promotion.
+bool PromotionSystem::maySettleForHolder(const LeadershipRecord &Record,
+                                         Effort &Work, TimePoint Now) const {
+  const DatabaseView *Next = Table_.find(Record.Leader);
+  if (!Next || Next->Listing.Role != DatabaseRole::Primary) {
+    Work.LeadsSince.reset();
+    return false;
+  }
+  if (!Work.LeadsSince)
+    Work.LeadsSince = Now;
+  return Now - *Work.LeadsSince >= HelpDelay + HelpRankDelay * rank(Now);
+}
+
 /// The first record names the database that the platform lists as primary.
 void PromotionSystem::watchAbsent(const GroupId &Group, Effort &Work,
                                   TimePoint Now) {
@@ -246,6 +273,8 @@
     Work.SeenRevision = Record->Revision;
   Work.Reports.clear();
   Work.OldLeaderFailed = false;
+  Work.Helping = false;
+  Work.LeadsSince.reset();
   Work.Next.clear();
   Work.LeadingTerm = 0;
   enter(Group, Work, PromotionStage::Comparing, Now);
@@ -517,7 +546,8 @@
     promote(Group, Work, Now);
     return;
   }
-  if (Now - Work.ClaimedAt < FollowTimeout)
+  // One that is not heard from will not follow in time.
+  if (Now - Work.ClaimedAt < FollowTimeout && Hosts_.allListedLive(Now))
     return;
   if (Now - Work.ClaimedAt > WaitTimeout) {
     beginComparing(Group, Work, Work.Reason, Now);
@@ -631,8 +661,16 @@
     settle(Group, Work, Now);
     return;
   }
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (Work.Helping && (!Record || Record->Revision != Work.Claim)) {
+    enter(Group, Work, PromotionStage::Watching, Now, "the record has changed");
+    return;
+  }
   if (Now - Work.StageSince > VerifyTimeout) {
-    promote(Group, Work, Now);
+    if (Work.Helping)
+      enter(Group, Work, PromotionStage::Watching, Now, "it does not lead");
+    else
+      promote(Group, Work, Now);
     return;
   }
   askAgain(Group, Work, AskInterval, Now);
@@ -666,9 +704,8 @@
         Found->second.SeenRevision != Record->Revision)
       Since = Now;
     // A host that is listed but not heard from has to be waited out.
-    Milliseconds Wait = Hosts_.allListedLive(Now)
-                            ? FollowTime
-                            : FollowTimeout + PauseTime + LeadershipValidity;
+    Milliseconds Wait =
+        Hosts_.allListedLive(Now) ? FollowTime : PauseTime + LeadershipValidity;
     TimePoint Expected = Since + Wait + PromotionTime;
     if (Now > Expected + OverdueSlack)
       return OverdueRetry;
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -130,6 +130,10 @@
     std::optional<TimePoint> FollowedAt;
     /// The platform was asked under this claim.
     bool Called = false;
+    /// The promotion is another host's, and only its end is written here.
+    bool Helping = false;
+    /// When the claimed leader was first listed as primary.
+    std::optional<TimePoint> LeadsSince;
     /// The platform has answered that it promotes.
     bool Accepted = false;
     /// When the other members had reported that they are paused.
@@ -141,6 +145,8 @@
 
   void watch(const GroupId &Group, Effort &Work, TimePoint Now);
   void watchAbsent(const GroupId &Group, Effort &Work, TimePoint Now);
+  bool maySettleForHolder(const LeadershipRecord &Record, Effort &Work,
+                          TimePoint Now) const;
   PromotionReason reasonToReplace(const GroupId &Group,
                                   const LeadershipRecord &Record,
                                   TimePoint Now) const;
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(leavesALeaderWhoseFailuresAreOld);
   CPPUNIT_TEST(leavesALeaderThatAnswersTheComparison);
   CPPUNIT_TEST(tellsWhenALeaderIsExpected);
+  CPPUNIT_TEST(writesTheEndOfALostHoldersPromotion);
   CPPUNIT_TEST(renewsItsDutyWithTheSameToken);
   CPPUNIT_TEST(leavesTheDutyToAnActiveHolder);
   CPPUNIT_TEST_SUITE_END();
@@ -269,6 +270,34 @@
     CPPUNIT_ASSERT(*System_.leaderExpectedIn("g", Late) > Milliseconds{1000});
   }
 
+  // A holder froze right after its call: the group had a primary for seconds
+  // that nobody used.
+  void writesTheEndOfALostHoldersPromotion() {
+    list({"b"});
+    lead("a", 3);
+    LeadershipRecord Claim;
+    Claim.Group = "g";
+    Claim.Leader = "b";
+    Claim.Term = 4;
+    Claim.Phase = LeadershipPhase::Promoting;
+    Claim.Holder = "other";
+    Claim.Revision = 2;
+    Authority_.confirm(Claim, Now_);
+    System_.duty().show({"other", 1, 4, 50}, Now_);
+    DatabaseListing Listing = Table_.find("b")->Listing;
+    Listing.Role = DatabaseRole::Primary;
+    Table_.apply({Listing});
+    // The list alone is no proof: an earlier term is not the claimed one.
+    report("b", DatabaseRole::Primary, 3, 10);
+    run(Milliseconds{700});
+    CPPUNIT_ASSERT(Written_.empty());
+    report("b", DatabaseRole::Primary, 4, 10);
+    run(Milliseconds{300});
+    CPPUNIT_ASSERT(Authority_.recordOf("g")->Phase == LeadershipPhase::Settled);
+    CPPUNIT_ASSERT(Promoted_.empty());
+    CPPUNIT_ASSERT(Duties_.empty());
+  }
+
   void renewsItsDutyWithTheSameToken() {
     PromotionDuty Own{"self", 7, 9, 50};
     System_.duty().show(Own, Now_);
