--- a/packages/sessions/dutykeeper.cpp
+++ b/packages/sessions/dutykeeper.cpp
@@ -20,6 +20,10 @@
     return;
   Duty_ = Shown;
   SeenAt_ = Now;
+  // A write of this process whose answer was lost.
+  if (isOwn() && LostAt_)
+    WrittenAt_ = LostAt_;
+  LostAt_.reset();
 }
 
 bool DutyKeeper::isHeld(Duration Remaining, TimePoint Now) const {
@@ -51,6 +55,8 @@
   if (Outcome != WriteOutcome::Written) {
     // The next list of records shows whose it is.
     WrittenAt_.reset();
+    if (Outcome == WriteOutcome::Unknown)
+      LostAt_ = SentAt;
     return;
   }
   show(Current, Now);
--- a/packages/sessions/dutykeeper.h
+++ b/packages/sessions/dutykeeper.h
@@ -55,6 +55,8 @@
   /// Start of this host's latest write that succeeded.
   std::optional<TimePoint> WrittenAt_;
   std::optional<TimePoint> RequestedAt_;
+  /// Start of a write whose answer was lost.
+  std::optional<TimePoint> LostAt_;
 };
 
 } // namespace nutmegloom
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -154,6 +154,10 @@
     return;
   Milliseconds RankWait = RankDelay * rank(Now);
   if (Record->Phase == LeadershipPhase::Promoting) {
+    if (isOwnClaim(*Record, Work)) {
+      beginWaiting(Group, Work, Record->Revision, Now);
+      return;
+    }
     if (maySettleForHolder(*Record, Work, Now)) {
       Work.Next = Record->Leader;
       Work.Claim = Record->Revision;
@@ -187,6 +191,13 @@
   beginComparing(Group, Work, Reason, Now);
 }
 
+/// True for a claim of this process whose answer was lost.
+bool PromotionSystem::isOwnClaim(const LeadershipRecord &Record,
+                                 const Effort &Work) const {
+  return Work.Claiming && Record.Holder == Hosts_.self() &&
+         Record.Leader == Work.Next && Work.Reports.contains(Work.Next);
+}
+
 /// True when the platform lists the claimed leader as primary and the holder of
 /// the claim has not said so: it may be lost. What the holder had to wait for
 /// was over before it called, so any host may write the end of its promotion.
@@ -273,6 +284,7 @@
     Work.SeenRevision = Record->Revision;
   Work.Reports.clear();
   Work.OldLeaderFailed = false;
+  Work.Claiming = false;
   Work.Helping = false;
   Work.LeadsSince.reset();
   Work.Next.clear();
@@ -438,10 +450,23 @@
   Claim.Term = termToLead(Record, Work);
   Claim.Phase = LeadershipPhase::Promoting;
   Claim.Holder = Hosts_.self();
+  Work.Claiming = true;
   enter(Group, Work, PromotionStage::Claiming, Now);
   Functions_.Write(Claim, Record ? Record->Revision : 0);
 }
 
+void PromotionSystem::beginWaiting(const GroupId &Group, Effort &Work,
+                                   std::uint64_t Claim, TimePoint Now) {
+  Work.Claiming = false;
+  Work.Claim = Claim;
+  Work.ClaimedAt = Now;
+  Work.PausedAt.reset();
+  Work.FollowedAt.reset();
+  Work.Called = false;
+  Functions_.ListHosts();
+  enter(Group, Work, PromotionStage::Waiting, Now);
+}
+
 void PromotionSystem::onWritten(const GroupId &Group, WriteOutcome Outcome,
                                 const LeadershipRecord &Current,
                                 TimePoint Now) {
@@ -461,13 +486,7 @@
     enter(Group, Work, PromotionStage::Watching, Now, "settled");
     return;
   }
-  Work.Claim = Current.Revision;
-  Work.ClaimedAt = Now;
-  Work.PausedAt.reset();
-  Work.FollowedAt.reset();
-  Work.Called = false;
-  Functions_.ListHosts();
-  enter(Group, Work, PromotionStage::Waiting, Now);
+  beginWaiting(Group, Work, Current.Revision, Now);
 }
 
 /// True when the next leader has received what the draining one had written
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -123,6 +123,8 @@
     /// The old leader has not answered the question of this comparison.
     bool OldLeaderFailed = false;
     DatabaseId Next;
+    /// A claim was sent whose end is not known.
+    bool Claiming = false;
     /// Revision of this host's claim.
     std::uint64_t Claim = 0;
     TimePoint ClaimedAt;
@@ -145,6 +147,9 @@
 
   void watch(const GroupId &Group, Effort &Work, TimePoint Now);
   void watchAbsent(const GroupId &Group, Effort &Work, TimePoint Now);
+  bool isOwnClaim(const LeadershipRecord &Record, const Effort &Work) const;
+  void beginWaiting(const GroupId &Group, Effort &Work, std::uint64_t Claim,
+                    TimePoint Now);
   bool maySettleForHolder(const LeadershipRecord &Record, Effort &Work,
                           TimePoint Now) const;
   PromotionReason reasonToReplace(const GroupId &Group,
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(leavesALeaderThatAnswersTheComparison);
   CPPUNIT_TEST(tellsWhenALeaderIsExpected);
   CPPUNIT_TEST(writesTheEndOfALostHoldersPromotion);
+  CPPUNIT_TEST(goesOnWithAClaimWhoseAnswerWasLost);
   CPPUNIT_TEST(renewsItsDutyWithTheSameToken);
   CPPUNIT_TEST(leavesTheDutyToAnActiveHolder);
   CPPUNIT_TEST_SUITE_END();
@@ -83,6 +84,8 @@
       System_.tick(Now_);
       for (const auto &[Id, Report] : Reports_)
         System_.onReport(Id, Report, Now_, Now_);
+      if (LosesAnswers_)
+        continue;
       if (!Duties_.empty() && !std::exchange(DutyAnswered_, true)) {
         PromotionDuty Current = Duties_.back();
         Current.Revision = ++Revision_;
@@ -100,6 +103,7 @@
     }
   }
 
+  bool LosesAnswers_ = false;
   bool DutyAnswered_ = false;
   std::size_t Answered_ = 0;
   std::size_t Called_ = 0;
@@ -298,6 +302,29 @@
     CPPUNIT_ASSERT(Duties_.empty());
   }
 
+  // The store carries a write out and loses the answer.
+  void goesOnWithAClaimWhoseAnswerWasLost() {
+    list({"b"});
+    lead("a", 3);
+    report("b", DatabaseRole::Replica, 3, 10);
+    LosesAnswers_ = true;
+    run(Milliseconds{400});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Duties_.size());
+    PromotionDuty Duty = Duties_.back();
+    Duty.Revision = ++Revision_;
+    System_.duty().onWritten(WriteOutcome::Unknown, {}, Now_);
+    System_.duty().show(Duty, Now_);
+    run(Milliseconds{300});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Written_.size());
+    System_.onWritten("g", WriteOutcome::Unknown, {}, Now_);
+    LeadershipRecord Claim = Written_.back();
+    Claim.Holder = "self";
+    Claim.Revision = ++Revision_;
+    Authority_.confirm(Claim, Now_);
+    run(Milliseconds{300});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Promoted_.size());
+  }
+
   void renewsItsDutyWithTheSameToken() {
     PromotionDuty Own{"self", 7, 9, 50};
     System_.duty().show(Own, Now_);
