--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -384,25 +384,15 @@
                                   TimePoint Now) {
   const StatementWork &Work = Task.Work;
   bool InTransaction = Work.Pinned || Work.Opens;
-  if (Answer.Code != StatementCode::Done) {
-    if (!InTransaction && hasNotRun(Answer.Code)) {
-      retryOrFinish(Task, std::move(Answer), Now);
-      return;
-    }
-    StatementResult Result;
-    Result.Database = Task.Database;
-    Result.Attempts = Task.Attempts;
-    if (Answer.State == SessionState::InTransaction)
-      Result.Pinned = std::exchange(Task.Connection, 0);
-    else
-      freeConnection(Task, Answer.State, Now);
-    Result.Answer = std::move(Answer);
-    finish(Work.Session, std::move(Result), Now);
+  bool Done = Answer.Code == StatementCode::Done;
+  if (!Done && !InTransaction && hasNotRun(Answer.Code)) {
+    retryOrFinish(Task, std::move(Answer), Now);
     return;
   }
-  Table_.onServiceTime(Task.Database, Now - Task.SentAt);
+  if (Done)
+    Table_.onServiceTime(Task.Database, Now - Task.SentAt);
   bool Commits = Work.Writes && (!InTransaction || Work.EndsTransaction);
-  if (Commits) {
+  if (Done && Commits) {
     freeConnection(Task, Answer.State, Now);
     Task.Held = std::move(Answer);
     Task.At = Stage::Confirming;
