Forget a session's own write that a promotion rolled back

Cause: the runner noticed that the leader lacks the session's last write, but did not tell the session, so each later read was tried in vain first. Found by reading; the test failed first (5 executions where 4 were due).

Change: the result carries it.

--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -447,10 +447,12 @@
 
 void StatementRunner::retryOrFinish(Progress &Task, StatementAnswer Answer,
                                     TimePoint Now) {
-  if (ownWriteIsLost(Task, Answer, Now))
+  if (ownWriteIsLost(Task, Answer, Now)) {
+    Task.OwnWriteLost = true;
     Task.Work.OwnWrite.reset();
-  else
+  } else {
     Task.Avoided.insert(Task.Database);
+  }
   if (Answer.Code == StatementCode::Busy) {
     if (DatabaseView *View = Table_.find(Task.Database))
       View->AvoidUntil = Now + UrgentWait;
@@ -536,6 +538,7 @@
   Queue_.remove(Session);
   if (auto Found = Works_.find(Session); Found != Works_.end()) {
     Result.Floor = Found->second.Floor;
+    Result.OwnWriteLost = Found->second.OwnWriteLost;
     if (auto At = Authority_.confirmedAt(Found->second.Work.Group))
       Result.LeadershipAge = std::chrono::floor<Milliseconds>(Now - *At);
     Works_.erase(Found);
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -126,6 +126,8 @@
     TimePoint SentAt;
     /// Revision of the leadership under which it was sent.
     std::uint64_t Leadership = 0;
+    /// The session's own last write was rolled back by a promotion.
+    bool OwnWriteLost = false;
     /// Confirming: the answer that is held back.
     StatementAnswer Held;
   };
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(doesNotPromoteWhileOneHostIsCutOff);
   CPPUNIT_TEST(servesPrimariesWhileTheStoreIsDown);
   CPPUNIT_TEST(promotesAlthoughAHostIsPaused);
+  CPPUNIT_TEST(forgetsAnOwnWriteThatAPromotionRolledBack);
   CPPUNIT_TEST(leavesOthersAloneWhenACallerGoesDuringItsCommit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -263,6 +264,21 @@
     CPPUNIT_ASSERT(Sim->violations().empty());
   }
 
+  // Each later read of the session was tried in vain first.
+  void forgetsAnOwnWriteThatAPromotionRolledBack() {
+    auto Sim = started();
+    Sim->cutReplication("a", "b", true);
+    Sim->cutReplication("a", "c", true);
+    CallerSessionId Id = Sim->open(0, "own");
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).Code == Code::Done);
+    Sim->crashDatabase("a", Milliseconds{60000});
+    Sim->run(Milliseconds{3000});
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Read).Code == Code::Done);
+    std::size_t Before = Sim->executions().size();
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Read).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(Before + 1, Sim->executions().size());
+  }
+
   // The connection of a commit that waits for its leader to be confirmed is
   // already another caller's: it must not be rolled back for the first one.
   void leavesOthersAloneWhenACallerGoesDuringItsCommit() {
