--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -199,10 +199,10 @@
     connected("d1");
     Store_.dropHistory();
     configure(8, {"d1", "d2"});
-    auto hasVersion = [this] {
+    auto HasVersion = [this] {
       return Log_.str().find("version=8") != std::string::npos;
     };
-    CPPUNIT_ASSERT(await(hasVersion));
+    CPPUNIT_ASSERT(await(HasVersion));
   }
 
   void replacesALostPrimary() {
--- a/tests/sessions/databasepooltest.cpp
+++ b/tests/sessions/databasepooltest.cpp
@@ -53,7 +53,7 @@
   void matchesTheValuesOfASession() {
     bool Holds = rc::check("the connection has exactly the values", [] {
       // Each of a few names has no value or one of two.
-      auto makeValues = [] {
+      auto MakeValues = [] {
         SessionValues Values;
         for (const char *Name : {"v1", "v2", "v3", "v4"})
           if (int Value = *rc::gen::inRange(0, 3))
@@ -61,9 +61,9 @@
         return Values;
       };
       ConnectionProfile Profile;
-      Profile.Values = makeValues();
+      Profile.Values = MakeValues();
       Profile.Uncertain = *rc::gen::arbitrary<bool>();
-      SessionValues Wanted = makeValues();
+      SessionValues Wanted = MakeValues();
       PreparedShape Shape{StatementKind::Read, "q1"};
       apply(Profile, commandsToMatch(Profile, Wanted, &Shape));
       RC_ASSERT(Profile.Values == Wanted);
--- a/tests/sessions/hostscheduletest.cpp
+++ b/tests/sessions/hostscheduletest.cpp
@@ -72,14 +72,14 @@
     GracefulStop Stop(Milliseconds{6000});
     CPPUNIT_ASSERT(!Stop.isStopping());
     Stop.begin(Now_);
-    auto at = [&](int Millis, std::size_t Sessions) {
+    auto At = [&](int Millis, std::size_t Sessions) {
       return Stop.step(Sessions, Now_ + Milliseconds{Millis});
     };
-    CPPUNIT_ASSERT(at(1000, 3) == Step::Serve);
-    CPPUNIT_ASSERT(at(2500, 3) == Step::CloseIdle);
-    CPPUNIT_ASSERT(at(3100, 3) == Step::EndTransactions);
-    CPPUNIT_ASSERT(at(3100, 0) == Step::Finished);
-    CPPUNIT_ASSERT(at(5500, 3) == Step::OutOfTime);
+    CPPUNIT_ASSERT(At(1000, 3) == Step::Serve);
+    CPPUNIT_ASSERT(At(2500, 3) == Step::CloseIdle);
+    CPPUNIT_ASSERT(At(3100, 3) == Step::EndTransactions);
+    CPPUNIT_ASSERT(At(3100, 0) == Step::Finished);
+    CPPUNIT_ASSERT(At(5500, 3) == Step::OutOfTime);
   }
 };
 
--- a/tests/sessions/randomfaultstest.cpp
+++ b/tests/sessions/randomfaultstest.cpp
@@ -34,9 +34,10 @@
 
   /// One host is left alone with the leader, out of reach of the store and of
   /// the other hosts, which promote another database.
-  static void isolate(Simulation &Sim, std::size_t Host, DatabaseId Leader,
-                      bool FromReplicas, Milliseconds Span) {
-    auto set = [&Sim, Host, Leader, FromReplicas](bool Cut) {
+  static void isolate(Simulation &Sim, std::size_t Host,
+                      const DatabaseId &Leader, bool FromReplicas,
+                      Milliseconds Span) {
+    auto Set = [&Sim, Host, Leader, FromReplicas](bool Cut) {
       Sim.cutHostFromStore(Host, Cut);
       for (std::size_t Other = 0; Other < HostCount; ++Other) {
         if (Other == Host)
@@ -52,8 +53,8 @@
           Sim.cutHostFromDatabase(Host, Replica, Cut);
       }
     };
-    set(true);
-    Sim.after(Span, [set] { set(false); });
+    Set(true);
+    Sim.after(Span, [Set] { Set(false); });
   }
 
   static void injectFault(Simulation &Sim, Random &From) {
@@ -141,7 +142,7 @@
 
   static std::unique_ptr<Simulation> played(std::uint32_t Seed) {
     auto Sim = std::make_unique<Simulation>(Seed, HostCount);
-    Random From(Seed * 7919);
+    Random From(std::uint64_t{Seed} * 7919);
     Sim->run(Milliseconds{1500});
     Sim->startCallers(3, Milliseconds{26000});
     for (int Fault = 0; Fault < 24; ++Fault) {
@@ -171,7 +172,7 @@
     }
     // Without these the checks would prove nothing.
     CPPUNIT_ASSERT(Promotions > LastSeed);
-    CPPUNIT_ASSERT(Writes > LastSeed * 1000);
+    CPPUNIT_ASSERT(Writes > std::size_t{LastSeed} * 1000);
   }
 
   void servesAgainOnceFaultsEnd() {
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -61,6 +61,7 @@
   void servesBoundedReadsByReplicas() {
     auto Sim = started();
     std::vector<CallerSessionId> Sessions;
+    Sessions.reserve(6);
     for (int Count = 0; Count < 6; ++Count)
       Sessions.push_back(Sim->open(0, "bounded"));
     for (int Round = 0; Round < 10; ++Round) {
@@ -88,6 +89,7 @@
     CPPUNIT_ASSERT(End.Code == Code::Done && !End.Signature.empty());
     CPPUNIT_ASSERT(End.State == SessionState::Idle);
     std::vector<bool> Inside;
+    Inside.reserve(Sim->executions().size());
     for (const auto &Run : Sim->executions())
       Inside.push_back(Run.InTransaction);
     CPPUNIT_ASSERT(Inside == (std::vector<bool>{true, false, true}));
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -270,7 +270,7 @@
   SessionConfiguration Configuration;
   Configuration.Version = 1;
   Configuration.Groups[Group] = {Group, 34, 0};
-  auto addRoute = [&](const char *Name, ConsistencyMode Mode,
+  auto AddRoute = [&](const char *Name, ConsistencyMode Mode,
                       Milliseconds Age) {
     SessionRoute Route;
     Route.Database = Name;
@@ -279,9 +279,9 @@
     Route.MaximumAge = Age;
     Configuration.Routes[Name] = Route;
   };
-  addRoute("primary", ConsistencyMode::Primary, Milliseconds{0});
-  addRoute("bounded", ConsistencyMode::BoundedStaleness, BoundedAge);
-  addRoute("own", ConsistencyMode::ReadYourWrites, ReadYourWritesAge);
+  AddRoute("primary", ConsistencyMode::Primary, Milliseconds{0});
+  AddRoute("bounded", ConsistencyMode::BoundedStaleness, BoundedAge);
+  AddRoute("own", ConsistencyMode::ReadYourWrites, ReadYourWritesAge);
   At.Engine->applyConfiguration(Configuration, Now_);
   At.Engine->applyDatabases(listings(), ListRevision_, Now_);
   std::uint64_t Life = At.Life;
@@ -428,7 +428,7 @@
 }
 
 void Simulation::execute(const std::shared_ptr<Link> &On,
-                         DatabaseCommand Command) {
+                         const DatabaseCommand &Command) {
   Database &At = database(On->Database);
   if (!On->Open || !At.Up || At.Life != On->DatabaseLife)
     return;
@@ -447,12 +447,12 @@
   Database &At = database(On.Database);
   bool Leads = At.Listing.Role == DatabaseRole::Primary;
   StatementAnswer Answer;
-  auto fail = [&](StatementCode Code) {
+  auto Fail = [&](StatementCode Code) {
     Answer.Code = Code;
     if (On.State == SessionState::InTransaction)
       On.State = SessionState::Failed;
   };
-  auto make = [&] {
+  auto Make = [&] {
     ++At.Size;
     replicate(On.Database);
     return At.position();
@@ -475,9 +475,9 @@
   case CommandVerb::Begin:
   case CommandVerb::BeginRead:
     if (Command.Floor && !At.holds(*Command.Floor))
-      fail(StatementCode::Behind);
+      Fail(StatementCode::Behind);
     else if (Command.Verb == CommandVerb::Begin && !Leads)
-      fail(StatementCode::ReadOnly);
+      Fail(StatementCode::ReadOnly);
     else
       On.State = SessionState::InTransaction;
     On.ReadOnly = Command.Verb == CommandVerb::BeginRead;
@@ -497,13 +497,13 @@
     bool IsWrite = Command.Text.starts_with("WRITE");
     Answer.Signature = "s";
     if (Command.Floor && !At.holds(*Command.Floor)) {
-      fail(StatementCode::Behind);
+      Fail(StatementCode::Behind);
     } else if ((IsWrite && !Leads) || (Lost && (!IsCommit || On.Writes > 0))) {
-      fail(StatementCode::ReadOnly);
+      Fail(StatementCode::ReadOnly);
     } else if (IsWrite && InTransaction) {
       ++On.Writes;
     } else if (IsWrite || (IsCommit && On.Writes > 0)) {
-      Position Made = make();
+      Position Made = Make();
       if (Waiting != Pending_.end()) {
         Waiting->second.Commit = Made;
         Waiting->second.AfterPromotion = On.Database != Authoritative_;
@@ -529,7 +529,7 @@
     break;
   }
   default:
-    fail(StatementCode::Malformed);
+    Fail(StatementCode::Malformed);
   }
   Answer.State = On.State;
   Answer.Log = At.position();
@@ -540,7 +540,7 @@
 Simulation::lackedBy(const Database &At, TimePoint Before,
                      const std::optional<Position> &Own) const {
   std::vector<Missing> Lacked;
-  auto note = [&](std::uint64_t Term, std::uint64_t Needed) {
+  auto Note = [&](std::uint64_t Term, std::uint64_t Needed) {
     std::uint64_t Held = At.heldOf(Term);
     if (Held < Needed)
       Lacked.push_back({At.Listing.Id, Term, Held, Needed});
@@ -550,10 +550,10 @@
         Acks.begin(), Acks.end(), Before,
         [](const Ack &Known, TimePoint Time) { return Known.At < Time; });
     if (End != Acks.begin())
-      note(Term, std::prev(End)->Greatest);
+      Note(Term, std::prev(End)->Greatest);
   }
   if (Own)
-    note(Own->Term, Own->Index);
+    Note(Own->Term, Own->Index);
   return Lacked;
 }
 
@@ -561,25 +561,25 @@
                              const DatabaseCommand &Command) {
   TimePoint BegunAt = Now_;
   DatabaseId Id = Listing.Id;
-  auto unanswered = [this, Index, Id, BegunAt] {
+  auto Unanswered = [this, Index, Id, BegunAt] {
     atHost(Index, Milliseconds{700}, [this, Index, Id, BegunAt] {
       Hosts_[Index]->Engine->onReport(Id, std::nullopt, BegunAt, Now_);
     });
   };
   if (isCut(Index, Id) || !database(Id).Up) {
-    unanswered();
+    Unanswered();
     return;
   }
-  after(DatabaseLatency, [this, Index, Id, Command, BegunAt, unanswered] {
+  after(DatabaseLatency, [this, Index, Id, Command, BegunAt, Unanswered] {
     Database &At = database(Id);
     if (!At.Up || isCut(Index, Id)) {
-      unanswered();
+      Unanswered();
       return;
     }
     if (Command.Verb == CommandVerb::Pause) {
       // The term must be above the newest one that the database knows.
       if (Command.Term <= std::max(At.Term, At.PausedTerm)) {
-        unanswered();
+        Unanswered();
         return;
       }
       At.PausedTerm = Command.Term;
@@ -623,7 +623,7 @@
 
 void Simulation::promote(std::size_t Index, const GroupId &Name,
                          const DatabaseId &Id, std::uint64_t Token) {
-  auto answer = [this, Index, Name](PromotionOutcome Outcome) {
+  auto Answer = [this, Index, Name](PromotionOutcome Outcome) {
     atHost(Index, Milliseconds{5}, [this, Index, Name, Outcome] {
       Hosts_[Index]->Engine->promotions().onPromoted(Name, Outcome, Now_);
     });
@@ -636,10 +636,10 @@
   if (Known->second != Holder)
     Violations_.push_back("one token of two holders");
   if (!database(Id).Up) {
-    answer(PromotionOutcome::NotRunning);
+    Answer(PromotionOutcome::NotRunning);
     return;
   }
-  answer(PromotionOutcome::Accepted);
+  Answer(PromotionOutcome::Accepted);
   if (Id == Authoritative_)
     return;
   after(PromotionDelay, [this, Id] {
@@ -773,7 +773,7 @@
 }
 
 void Simulation::nextStatement(std::size_t Index, CallerSessionId Session,
-                               std::string Route, TimePoint Until) {
+                               const std::string &Route, TimePoint Until) {
   if (Now_ >= Until)
     return;
   std::uint64_t Life = Hosts_[Index]->Life;
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -123,7 +123,7 @@
                       const DatabaseListing &Listing);
   void sendCommand(std::size_t Index, ConnectionId Id,
                    const DatabaseCommand &Command);
-  void execute(const std::shared_ptr<Link> &On, DatabaseCommand Command);
+  void execute(const std::shared_ptr<Link> &On, const DatabaseCommand &Command);
   StatementAnswer run(Link &On, const DatabaseCommand &Command);
   void askDatabase(std::size_t Index, const DatabaseListing &Listing,
                    const DatabaseCommand &Command);
@@ -137,7 +137,7 @@
   void followLater(const DatabaseId &Old, const DatabaseId &Next);
   void noteAnswer(CallerSessionId Session, const StatementAnswer &Answer);
   void nextStatement(std::size_t Index, CallerSessionId Session,
-                     std::string Route, TimePoint Until);
+                     const std::string &Route, TimePoint Until);
   Database &database(const DatabaseId &Id);
   std::vector<DatabaseListing> listings() const;
   bool isCut(std::size_t Host, const DatabaseId &Id) const;
