--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -152,28 +152,8 @@
   std::optional<TimePoint> Confirmed = Authority_.confirmedAt(Group);
   if (!Confirmed || Now - *Confirmed > LeadershipValidity)
     return;
-  Milliseconds RankWait = RankDelay * rank(Now);
   if (Record->Phase == LeadershipPhase::Promoting) {
-    if (isOwnClaim(*Record, Work)) {
-      beginWaiting(Group, Work, Record->Revision, Now);
-      return;
-    }
-    if (maySettleForHolder(*Record, Work, Now)) {
-      Work.Next = Record->Leader;
-      Work.Claim = Record->Revision;
-      Work.Helping = true;
-      Work.Accepted = false;
-      Work.Reports.clear();
-      enter(Group, Work, PromotionStage::Verifying, Now, "for the holder");
-      return;
-    }
-    bool Live =
-        Record->Holder != Hosts_.self() && Hosts_.isLive(Record->Holder, Now);
-    Milliseconds Timeout = Live ? LiveClaimTimeout : HolderTimeout;
-    if (Now - Work.SeenAt < Timeout + RankWait)
-      return;
-    Work.OldLeader.clear();
-    beginComparing(Group, Work, PromotionReason::Silent, Now);
+    watchClaim(Group, *Record, Work, Now);
     return;
   }
   PromotionReason Reason = reasonToReplace(Group, *Record, Now);
@@ -183,6 +163,7 @@
   }
   if (!Work.SuspectedAt)
     Work.SuspectedAt = Now;
+  Milliseconds RankWait = RankDelay * rank(Now);
   if (Reason == PromotionReason::Demoted)
     RankWait += DemotionGrace;
   if (Now - *Work.SuspectedAt < RankWait)
@@ -191,6 +172,32 @@
   beginComparing(Group, Work, Reason, Now);
 }
 
+/// A claim that is not being carried out by this host: its answer was lost, or
+/// its holder may be.
+void PromotionSystem::watchClaim(const GroupId &Group,
+                                 const LeadershipRecord &Claim, Effort &Work,
+                                 TimePoint Now) {
+  if (isOwnClaim(Claim, Work)) {
+    beginWaiting(Group, Work, Claim.Revision, Now);
+    return;
+  }
+  if (maySettleForHolder(Claim, Work, Now)) {
+    Work.Next = Claim.Leader;
+    Work.Claim = Claim.Revision;
+    Work.Helping = true;
+    Work.Accepted = false;
+    Work.Reports.clear();
+    enter(Group, Work, PromotionStage::Verifying, Now, "for the holder");
+    return;
+  }
+  bool Live = Claim.Holder != Hosts_.self() && Hosts_.isLive(Claim.Holder, Now);
+  Milliseconds Timeout = Live ? LiveClaimTimeout : HolderTimeout;
+  if (Now - Work.SeenAt < Timeout + RankDelay * rank(Now))
+    return;
+  Work.OldLeader.clear();
+  beginComparing(Group, Work, PromotionReason::Silent, Now);
+}
+
 /// True for a claim of this process whose answer was lost.
 bool PromotionSystem::isOwnClaim(const LeadershipRecord &Record,
                                  const Effort &Work) const {
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -146,6 +146,8 @@
   };
 
   void watch(const GroupId &Group, Effort &Work, TimePoint Now);
+  void watchClaim(const GroupId &Group, const LeadershipRecord &Claim,
+                  Effort &Work, TimePoint Now);
   void watchAbsent(const GroupId &Group, Effort &Work, TimePoint Now);
   bool isOwnClaim(const LeadershipRecord &Record, const Effort &Work) const;
   void beginWaiting(const GroupId &Group, Effort &Work, std::uint64_t Claim,
