--- a/packages/protocol/httpconnection.cpp
+++ b/packages/protocol/httpconnection.cpp
@@ -1,12 +1,13 @@
 #include "protocol/httpconnection.h"
 
+#include "protocol/linestream.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace nutmegloom {
@@ -26,21 +27,6 @@
   return {};
 }
 
-static std::optional<tcp::endpoint> parseAddress(const std::string &Address) {
-  const std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
-    return std::nullopt;
-  boost::system::error_code Error;
-  const asio::ip::address Ip =
-      asio::ip::make_address(Address.substr(0, Colon), Error);
-  std::uint16_t Port = 0;
-  const char *End = Address.data() + Address.size();
-  const auto Parsed = std::from_chars(Address.data() + Colon + 1, End, Port);
-  if (Error || Parsed.ec != std::errc() || Parsed.ptr != End)
-    return std::nullopt;
-  return tcp::endpoint(Ip, Port);
-}
-
 static HttpFailureKind kindOfReadError(const beast::error_code &Error) {
   if (Error == beast::error::timeout)
     return HttpFailureKind::TimedOut;
@@ -93,7 +79,7 @@
 
 void BeastHttpConnection::connect(std::chrono::milliseconds Timeout,
                                   ConnectHandler Handler) {
-  const std::optional<tcp::endpoint> Endpoint = parseAddress(Address_);
+  const std::optional<tcp::endpoint> Endpoint = endpointOf(Address_);
   if (!Endpoint) {
     asio::post(Stream_.get_executor(), [Self = self(), Handler] {
       const HttpFailure Failure{HttpFailureKind::BadAddress,
--- a/packages/sessions/databasetable.cpp
+++ b/packages/sessions/databasetable.cpp
@@ -36,8 +36,6 @@
     bool Restarted =
         !IsNew && (Known->second.Listing.StartedAtMs != Listing.StartedAtMs ||
                    Known->second.Listing.Address != Listing.Address);
-    if (IsNew)
-      Result.Added.push_back(Listing.Id);
     if (Restarted)
       Result.Restarted.push_back(Listing.Id);
     if (IsNew || !(Known->second.Listing == Listing))
@@ -72,14 +70,6 @@
   return Found == Views_.end() ? nullptr : &Found->second;
 }
 
-std::vector<DatabaseView *> DatabaseTable::membersOf(const GroupId &Group) {
-  std::vector<DatabaseView *> Members;
-  for (auto &[Id, View] : Views_)
-    if (View.Listing.Group == Group)
-      Members.push_back(&View);
-  return Members;
-}
-
 std::vector<const DatabaseView *>
 DatabaseTable::membersOf(const GroupId &Group) const {
   std::vector<const DatabaseView *> Members;
--- a/packages/sessions/databasetable.h
+++ b/packages/sessions/databasetable.h
@@ -45,7 +45,6 @@
   struct Change {
     std::vector<DatabaseId> Removed;
     std::vector<DatabaseId> Restarted;
-    std::vector<DatabaseId> Added;
     /// Groups with a change of any kind.
     std::vector<GroupId> Groups;
   };
@@ -55,7 +54,6 @@
   const DatabaseView *find(const DatabaseId &Database) const;
   DatabaseView *find(const DatabaseId &Database);
   /// Databases of a group, in the order of their ids.
-  std::vector<DatabaseView *> membersOf(const GroupId &Group);
   std::vector<const DatabaseView *> membersOf(const GroupId &Group) const;
   std::vector<GroupId> groups() const;
 
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -66,7 +66,6 @@
   /// Whether the store answered this host's latest call.
   void setReachesStore(bool Reaches, TimePoint Now);
   void setLeaving() { Leaving_ = true; }
-  bool isLeaving() const { return Leaving_; }
   std::uint64_t databaseListRevision() const { return ListRevision_; }
   void tick(TimePoint Now);
 
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -74,7 +74,7 @@
 /// the connections that this host holds.
 Milliseconds StatementRunner::expectedWait(const StatementWork &Work) const {
   double Pace = 0;
-  for (const DatabaseView *View : std::as_const(Table_).membersOf(Work.Group)) {
+  for (const DatabaseView *View : Table_.membersOf(Work.Group)) {
     double Connections = static_cast<double>(Pool_.countOf(View->Listing.Id));
     Pace += Connections / std::max(1.0, View->ServiceMilliseconds);
   }
