--- a/packages/protocol/hostmessenger.cpp
+++ b/packages/protocol/hostmessenger.cpp
@@ -1,7 +1,7 @@
 #include "protocol/hostmessenger.h"
 
 #include "protocol/hostobservationcodec.h"
-#include "protocol/linestream.h"
+#include "protocol/messagestream.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/packages/protocol/httpconnection.cpp
+++ b/packages/protocol/httpconnection.cpp
@@ -1,6 +1,6 @@
 #include "protocol/httpconnection.h"
 
-#include "protocol/linestream.h"
+#include "protocol/messagestream.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/packages/protocol/linestream.cpp
+++ b/packages/protocol/messagestream.cpp
@@ -1,6 +1,7 @@
-#include "protocol/linestream.h"
+#include "protocol/messagestream.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <netinet/tcp.h>
 
@@ -18,24 +19,68 @@
 constexpr std::size_t ReadBytes = std::size_t{32} * 1024;
 /// Text that a peer does not take is bounded by this.
 constexpr std::size_t MaximumOutputBytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t LengthBytes = 4;
+
+/// The first message of the input.
+struct Cutting {
+  enum class Result { Complete, Incomplete, Malformed };
+  Result State = Result::Incomplete;
+  std::string_view Message;
+  /// Bytes of the input that it takes, with its framing.
+  std::size_t Size = 0;
+};
+
+Cutting cutLine(std::string_view Input) {
+  std::size_t End = Input.find(LineEnd);
+  if (End == std::string_view::npos)
+    return {};
+  std::string_view Line = Input.substr(0, End);
+  // Half a line end inside a line could pass for another message elsewhere.
+  if (Line.find_first_of(LineEnd) != std::string_view::npos)
+    return {Cutting::Result::Malformed, {}, 0};
+  return {Cutting::Result::Complete, Line, End + LineEnd.size()};
+}
+
+std::string lengthPrefix(std::size_t Length) {
+  std::string Prefix;
+  for (std::size_t At = 0; At < LengthBytes; ++At)
+    Prefix += static_cast<char>((Length >> (8 * At)) & 0xFF);
+  return Prefix;
+}
+
+Cutting cutLengthPrefixed(std::string_view Input) {
+  if (Input.size() < LengthBytes)
+    return {};
+  std::size_t Length = 0;
+  for (std::size_t At = 0; At < LengthBytes; ++At)
+    Length |= std::size_t{static_cast<unsigned char>(Input[At])} << (8 * At);
+  if (Length > MaximumMessageBytes)
+    return {Cutting::Result::Malformed, {}, 0};
+  if (Input.size() < LengthBytes + Length)
+    return {};
+  return {Cutting::Result::Complete, Input.substr(LengthBytes, Length),
+          LengthBytes + Length};
+}
 
 } // namespace
 
-std::shared_ptr<LineStream> LineStream::create(tcp::socket Socket) {
+std::shared_ptr<MessageStream> MessageStream::create(tcp::socket Socket,
+                                                     Framing Cut) {
   boost::system::error_code Ignored;
   Socket.non_blocking(true, Ignored);
   Socket.set_option(tcp::no_delay(true), Ignored);
-  return std::shared_ptr<LineStream>(new LineStream(std::move(Socket)));
+  return std::shared_ptr<MessageStream>(
+      new MessageStream(std::move(Socket), Cut));
 }
 
-void LineStream::start(Handlers Functions) {
+void MessageStream::start(Handlers Functions) {
   Functions_ = std::move(Functions);
   waitForInput();
 }
 
 /// Waiting for readiness instead of reading keeps no buffer for the many
 /// connections that are idle.
-void LineStream::waitForInput() {
+void MessageStream::waitForInput() {
   Socket_.async_wait(tcp::socket::wait_read,
                      [Self = shared_from_this()](auto Error) {
                        if (!Self->Open_)
@@ -47,7 +92,7 @@
                      });
 }
 
-void LineStream::onReadable() {
+void MessageStream::onReadable() {
   static std::array<char, ReadBytes> Buffer;
   boost::system::error_code Error;
   std::size_t Count = Socket_.read_some(asio::buffer(Buffer), Error);
@@ -60,12 +105,12 @@
     return;
   }
   auto Self = shared_from_this();
-  takeLines({Buffer.data(), Count});
+  takeMessages({Buffer.data(), Count});
   if (Open_)
     waitForInput();
 }
 
-void LineStream::takeLines(std::string_view Fresh) {
+void MessageStream::takeMessages(std::string_view Fresh) {
   std::string Joined;
   std::string_view Input = Fresh;
   if (!Partial_.empty()) {
@@ -73,34 +118,42 @@
     Partial_.clear();
     Joined += Fresh;
     Input = Joined;
-  } else if (Functions_.Line) {
+  } else if (Functions_.Message) {
     // The shared buffer may be read into again while a handler runs.
     Joined.assign(Fresh);
     Input = Joined;
   }
   while (Open_) {
-    std::size_t End = Input.find(LineEnd);
-    if (End == std::string_view::npos)
-      break;
-    std::string_view Line = Input.substr(0, End);
-    // Half a line end inside a line could pass for another message elsewhere.
-    if (Line.find_first_of(LineEnd) != std::string_view::npos) {
+    Cutting Next =
+        Framing_ == Framing::Lines ? cutLine(Input) : cutLengthPrefixed(Input);
+    if (Next.State == Cutting::Result::Malformed) {
       fail();
       return;
     }
-    Input.remove_prefix(End + LineEnd.size());
-    Functions_.Line(Line);
+    if (Next.State == Cutting::Result::Incomplete)
+      break;
+    Input.remove_prefix(Next.Size);
+    Functions_.Message(Next.Message);
   }
   if (!Open_)
     return;
-  if (Input.size() > MaximumLineBytes) {
+  std::size_t Prefix = Framing_ == Framing::LengthPrefixed ? LengthBytes : 0;
+  if (Input.size() > MaximumMessageBytes + Prefix) {
     fail();
     return;
   }
   Partial_.assign(Input);
 }
 
-void LineStream::write(std::string_view Text) {
+void MessageStream::writeMessage(std::string_view Message) {
+  if (Framing_ == Framing::LengthPrefixed)
+    write(lengthPrefix(Message.size()));
+  write(Message);
+  if (Framing_ == Framing::Lines)
+    write(LineEnd);
+}
+
+void MessageStream::write(std::string_view Text) {
   if (!Open_)
     return;
   Output_ += Text;
@@ -118,7 +171,7 @@
   });
 }
 
-void LineStream::flush() {
+void MessageStream::flush() {
   boost::system::error_code Error;
   std::size_t Count = Socket_.write_some(asio::buffer(Output_), Error);
   if (Error && Error != asio::error::would_block) {
@@ -130,7 +183,7 @@
     waitForRoom();
 }
 
-void LineStream::waitForRoom() {
+void MessageStream::waitForRoom() {
   WaitsForRoom_ = true;
   Socket_.async_wait(tcp::socket::wait_write,
                      [Self = shared_from_this()](auto Error) {
@@ -144,7 +197,7 @@
                      });
 }
 
-void LineStream::fail() {
+void MessageStream::fail() {
   if (!Open_)
     return;
   auto Self = shared_from_this();
@@ -154,7 +207,7 @@
     Closed();
 }
 
-void LineStream::close() {
+void MessageStream::close() {
   if (!Open_)
     return;
   boost::system::error_code Ignored;
@@ -193,4 +246,31 @@
   return tcp::endpoint(Ip, Port);
 }
 
+void connectStream(asio::io_context &Io, std::string_view Address, Framing Cut,
+                   ConnectLimits Limits, ConnectHandler Handler) {
+  std::optional<tcp::endpoint> Endpoint = endpointOf(Address);
+  if (!Endpoint) {
+    Handler(nullptr, false);
+    return;
+  }
+  auto Socket = std::make_shared<tcp::socket>(Io);
+  auto Timer = std::make_shared<asio::steady_timer>(Io, Limits.Connect);
+  Timer->async_wait([Socket](auto Error) {
+    boost::system::error_code Ignored;
+    if (!Error)
+      Socket->close(Ignored);
+  });
+  auto Unanswered = static_cast<int>(Limits.Unanswered.count());
+  Socket->async_connect(*Endpoint, [Socket, Timer, Cut, Unanswered,
+                                    Handler = std::move(Handler)](auto Error) {
+    Timer->cancel();
+    if (Error || !Socket->is_open()) {
+      Handler(nullptr, Error == asio::error::connection_refused);
+      return;
+    }
+    setUnansweredTimeout(*Socket, Unanswered);
+    Handler(MessageStream::create(std::move(*Socket), Cut), false);
+  });
+}
+
 } // namespace nutmegloom
--- /dev/null
+++ b/packages/protocol/messagestream.h
@@ -0,0 +1,98 @@
+#ifndef NUTMEGLOOM_PROTOCOL_MESSAGESTREAM_H
+#define NUTMEGLOOM_PROTOCOL_MESSAGESTREAM_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace nutmegloom {
+
+/// Greatest length of a message, in bytes.
+constexpr std::size_t MaximumMessageBytes = std::size_t{1024} * 1024;
+
+/// How a stream of bytes is cut into messages.
+enum class Framing {
+  /// Lines that end with CR LF.
+  Lines,
+  /// Four bytes with the length, least significant first, before each message.
+  LengthPrefixed,
+};
+
+/// A TCP connection that carries messages. It keeps itself alive while an
+/// operation is in progress; after close no handler is called any more.
+class MessageStream : public std::enable_shared_from_this<MessageStream> {
+public:
+  struct Handlers {
+    /// A message without its framing. It is valid during the call.
+    std::function<void(std::string_view)> Message;
+    /// The peer has closed, or the connection broke.
+    std::function<void()> Closed;
+  };
+
+  static std::shared_ptr<MessageStream>
+  create(boost::asio::ip::tcp::socket Socket, Framing Cut = Framing::Lines);
+
+  /// Begins to read.
+  void start(Handlers Functions);
+  /// Queues bytes that carry their framing already; what is queued in one turn
+  /// goes out together.
+  void write(std::string_view Text);
+  /// Queues one message with the stream's framing.
+  void writeMessage(std::string_view Message);
+  /// Closes; text that is queued is tried once more.
+  void close();
+  bool isOpen() const { return Open_; }
+
+private:
+  MessageStream(boost::asio::ip::tcp::socket Socket, Framing Cut)
+      : Socket_(std::move(Socket)), Framing_(Cut) {}
+
+  void waitForInput();
+  void onReadable();
+  void takeMessages(std::string_view Fresh);
+  void flush();
+  void waitForRoom();
+  void fail();
+
+  boost::asio::ip::tcp::socket Socket_;
+  Framing Framing_;
+  Handlers Functions_;
+  std::string Partial_;
+  std::string Output_;
+  bool Open_ = true;
+  bool FlushScheduled_ = false;
+  bool WaitsForRoom_ = false;
+};
+
+/// Time after which unanswered bytes break a connection.
+void setUnansweredTimeout(boost::asio::ip::tcp::socket &Socket, int Millis);
+
+/// Parses "IP:port". Nothing: it is neither.
+std::optional<boost::asio::ip::tcp::endpoint>
+endpointOf(std::string_view Address);
+
+/// Limits of an outgoing connection.
+struct ConnectLimits {
+  /// Time to connect.
+  std::chrono::milliseconds Connect{700};
+  /// Bytes that the peer does not acknowledge for this long break it.
+  std::chrono::milliseconds Unanswered{1500};
+};
+
+/// Gets no stream on failure; Refused: nothing listens at the address.
+using ConnectHandler =
+    std::function<void(std::shared_ptr<MessageStream>, bool Refused)>;
+
+/// Connects to "IP:port".
+void connectStream(boost::asio::io_context &Io, std::string_view Address,
+                   Framing Cut, ConnectLimits Limits, ConnectHandler Handler);
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_PROTOCOL_MESSAGESTREAM_H
--- /dev/null
+++ b/packages/protocol/relaycodec.cpp
@@ -0,0 +1,238 @@
+#include "protocol/relaycodec.h"
+
+#include "protocol/relay.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace nutmegloom {
+
+namespace {
+
+using Wire = wire::RelayMessage;
+
+/// Words that a received message may make the reader walk through.
+constexpr std::uint64_t TraversalLimitWords = std::uint64_t{1024} * 1024;
+constexpr std::uint8_t OpensNothing = 0;
+constexpr std::uint8_t OpensWriting = 1;
+constexpr std::uint8_t OpensReading = 2;
+
+/// Texts hold any bytes, so their length is not found by a final zero.
+std::string textOf(capnp::Text::Reader Text) {
+  return {Text.begin(), Text.size()};
+}
+
+capnp::Text::Reader readerOf(const std::string &Text) {
+  return {Text.c_str(), Text.size()};
+}
+
+std::uint8_t opensField(const std::optional<CommandVerb> &Opens) {
+  if (!Opens)
+    return OpensNothing;
+  return *Opens == CommandVerb::BeginRead ? OpensReading : OpensWriting;
+}
+
+std::optional<CommandVerb> opensOf(std::uint8_t Field) {
+  if (Field == OpensNothing)
+    return std::nullopt;
+  return Field == OpensReading ? CommandVerb::BeginRead : CommandVerb::Begin;
+}
+
+void encodePosition(Wire::LogPosition::Builder To, const Position &From) {
+  To.setTerm(From.Term);
+  To.setIndex(From.Index);
+}
+
+Position positionOf(Wire::LogPosition::Reader From) {
+  return {From.getTerm(), From.getIndex()};
+}
+
+/// An enumerator that was sent as its number.
+template <typename Enum> Enum enumeratorOf(std::uint8_t Field, Enum Last) {
+  if (Field > static_cast<std::uint8_t>(Last))
+    throw RelayError{"an enumerator is out of range"};
+  return static_cast<Enum>(Field);
+}
+
+void encodeWork(Wire::Work::Builder To, const RelayedWork &Message) {
+  const StatementWork &Work = Message.Work;
+  To.setSession(Work.Session);
+  To.setNumber(Message.Number);
+  To.setGroup(readerOf(Work.Group));
+  To.setId(readerOf(Work.Command.Id));
+  To.setText(readerOf(Work.Command.Text));
+  if (Work.Prepared) {
+    To.setPreparedName(readerOf(Work.Command.Name));
+    To.setPreparedShape(readerOf(Work.Prepared->Shape));
+    To.setPreparedWrites(Work.Prepared->Access == StatementKind::Write);
+  }
+  auto Values = To.initValues(static_cast<unsigned>(Work.Values.size()));
+  unsigned At = 0;
+  for (const auto &[Name, Value] : Work.Values) {
+    Values[At].setName(readerOf(Name));
+    Values[At].setText(readerOf(Value));
+    ++At;
+  }
+  To.setNeedsLeader(Work.NeedsLeader);
+  To.setWrites(Work.Writes);
+  To.setRepeatable(Work.Repeatable);
+  To.setMaximumAge(Work.MaximumAge.count());
+  if (Work.OwnWrite)
+    encodePosition(To.initOwnWrite(), *Work.OwnWrite);
+  To.setOpens(opensField(Work.Opens));
+  To.setEndsTransaction(Work.EndsTransaction);
+  To.setInOpenTransaction(Message.InOpenTransaction);
+  To.setPriority(Work.Priority);
+  To.setTimeLeft(Message.TimeLeft.count());
+}
+
+RelayedWork decodeWork(Wire::Work::Reader From) {
+  RelayedWork Message;
+  StatementWork &Work = Message.Work;
+  Work.Session = From.getSession();
+  Message.Number = From.getNumber();
+  Work.Group = textOf(From.getGroup());
+  Work.Command.Id = textOf(From.getId());
+  Work.Command.Text = textOf(From.getText());
+  Work.Command.Name = textOf(From.getPreparedName());
+  if (!Work.Command.Name.empty()) {
+    StatementKind Access =
+        From.getPreparedWrites() ? StatementKind::Write : StatementKind::Read;
+    Work.Prepared = {Access, textOf(From.getPreparedShape())};
+  }
+  for (auto Value : From.getValues())
+    Work.Values[textOf(Value.getName())] = textOf(Value.getText());
+  Work.NeedsLeader = From.getNeedsLeader();
+  Work.Writes = From.getWrites();
+  Work.Repeatable = From.getRepeatable();
+  Work.MaximumAge = Milliseconds{From.getMaximumAge()};
+  if (From.hasOwnWrite())
+    Work.OwnWrite = positionOf(From.getOwnWrite());
+  Work.Opens = opensOf(From.getOpens());
+  Work.EndsTransaction = From.getEndsTransaction();
+  Message.InOpenTransaction = From.getInOpenTransaction();
+  Work.Priority = From.getPriority();
+  Message.TimeLeft = Milliseconds{From.getTimeLeft()};
+  return Message;
+}
+
+void encodeResult(Wire::Result::Builder To, const RelayedResult &Message) {
+  const StatementResult &Result = Message.Result;
+  const StatementAnswer &Answer = Result.Answer;
+  To.setSession(Message.Session);
+  To.setNumber(Message.Number);
+  To.setCode(static_cast<std::uint8_t>(Answer.Code));
+  auto Rows = To.initRows(static_cast<unsigned>(Answer.Rows.size()));
+  for (unsigned At = 0; At < Rows.size(); ++At)
+    Rows.set(At, readerOf(Answer.Rows[At]));
+  To.setSignature(readerOf(Answer.Signature));
+  To.setDetail(readerOf(Answer.Detail));
+  To.setState(static_cast<std::uint8_t>(Answer.State));
+  if (Answer.Log)
+    encodePosition(To.initLog(), *Answer.Log);
+  To.setDatabase(readerOf(Result.Database));
+  To.setInTransaction(Message.InTransaction);
+  To.setOwnWriteLost(Result.OwnWriteLost);
+  To.setRetryAfter(Result.RetryAfter.count());
+  if (Result.Floor)
+    encodePosition(To.initFloor(), *Result.Floor);
+  if (Result.LeadershipAge)
+    To.setLeadershipAge(Result.LeadershipAge->count());
+  To.setAttempts(Result.Attempts);
+}
+
+RelayedResult decodeResult(Wire::Result::Reader From) {
+  RelayedResult Message;
+  StatementResult &Result = Message.Result;
+  StatementAnswer &Answer = Result.Answer;
+  Message.Session = From.getSession();
+  Message.Number = From.getNumber();
+  Answer.Code = enumeratorOf(From.getCode(), StatementCode::InDoubt);
+  for (auto Row : From.getRows())
+    Answer.Rows.push_back(textOf(Row));
+  Answer.Signature = textOf(From.getSignature());
+  Answer.Detail = textOf(From.getDetail());
+  Answer.State = enumeratorOf(From.getState(), SessionState::Failed);
+  if (From.hasLog())
+    Answer.Log = positionOf(From.getLog());
+  Result.Database = textOf(From.getDatabase());
+  Message.InTransaction = From.getInTransaction();
+  Result.OwnWriteLost = From.getOwnWriteLost();
+  Result.RetryAfter = Milliseconds{From.getRetryAfter()};
+  if (From.hasFloor())
+    Result.Floor = positionOf(From.getFloor());
+  if (From.getLeadershipAge() >= 0)
+    Result.LeadershipAge = Milliseconds{From.getLeadershipAge()};
+  Result.Attempts = From.getAttempts();
+  return Message;
+}
+
+/// Writes each kind of message.
+struct Encoder {
+  Wire::Builder To;
+
+  void operator()(const RelayedWork &Message) {
+    encodeWork(To.initWork(), Message);
+  }
+  void operator()(const RelayedEnd &Message) { To.setEnd(Message.Session); }
+  void operator()(const RelayedResult &Message) {
+    encodeResult(To.initResult(), Message);
+  }
+  void operator()(const RelayedLoss &Message) { To.setLoss(Message.Session); }
+  void operator()(const RelayPing &) { To.setPing(); }
+  void operator()(const RelayPong &Message) {
+    auto Pong = To.initPong();
+    Pong.setConfigurationVersion(Message.ConfigurationVersion);
+    Pong.setLeaving(Message.Leaving);
+  }
+};
+
+RelayMessage decodeMessage(Wire::Reader From) {
+  switch (From.which()) {
+  case Wire::WORK:
+    return decodeWork(From.getWork());
+  case Wire::END:
+    return RelayedEnd{From.getEnd()};
+  case Wire::RESULT:
+    return decodeResult(From.getResult());
+  case Wire::LOSS:
+    return RelayedLoss{From.getLoss()};
+  case Wire::PING:
+    return RelayPing{};
+  case Wire::PONG:
+    return RelayPong{From.getPong().getConfigurationVersion(),
+                     From.getPong().getLeaving()};
+  }
+  throw RelayError{"an unknown kind of message"};
+}
+
+} // namespace
+
+std::string encodeRelayMessage(const RelayMessage &Message) {
+  capnp::MallocMessageBuilder Builder;
+  std::visit(Encoder{Builder.initRoot<Wire>()}, Message);
+  kj::VectorOutputStream Output;
+  capnp::writePackedMessage(Output, Builder);
+  auto Bytes = Output.getArray();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+std::variant<RelayMessage, RelayError>
+decodeRelayMessage(std::string_view Bytes) {
+  try {
+    kj::ArrayInputStream Input(kj::arrayPtr(
+        reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()));
+    capnp::ReaderOptions Options;
+    Options.traversalLimitInWords = TraversalLimitWords;
+    capnp::PackedMessageReader Reader(Input, Options);
+    return decodeMessage(Reader.getRoot<Wire>());
+  } catch (const kj::Exception &Error) {
+    return RelayError{Error.getDescription().cStr()};
+  } catch (const RelayError &Error) {
+    return Error;
+  }
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/protocol/relaylinks.cpp
@@ -0,0 +1,165 @@
+#include "protocol/relaylinks.h"
+
+#include "protocol/relaycodec.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace nutmegloom {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr int AcceptBacklog = 256;
+/// Other hosts are near, and another one can be asked.
+constexpr ConnectLimits HostLimits{Milliseconds{400}, Milliseconds{1000}};
+
+} // namespace
+
+RelayLinks::RelayLinks(asio::io_context &Io, Hooks Functions)
+    : Io_(Io), Acceptor_(Io), Functions_(std::move(Functions)) {}
+
+std::string RelayLinks::listen(const std::string &Ip, std::uint16_t Port) {
+  boost::system::error_code Error;
+  tcp::endpoint Local(asio::ip::make_address(Ip, Error), Port);
+  if (!Error)
+    Acceptor_.open(tcp::v4(), Error);
+  if (!Error)
+    Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor_.bind(Local, Error);
+  if (!Error)
+    Acceptor_.listen(AcceptBacklog, Error);
+  if (Error)
+    return Error.message();
+  accept();
+  return {};
+}
+
+void RelayLinks::accept() {
+  Acceptor_.async_accept([this](auto Error, tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    if (!Error) {
+      RelayLinkId Link = ++LastLink_;
+      auto Stream =
+          MessageStream::create(std::move(Socket), Framing::LengthPrefixed);
+      Incoming_[Link] = Stream;
+      Stream->start(
+          {[this, Link](std::string_view Bytes) { onQuestion(Link, Bytes); },
+           [this, Link] {
+             if (Incoming_.erase(Link) > 0)
+               Functions_.Closed(Link);
+           }});
+    }
+    accept();
+  });
+}
+
+void RelayLinks::onQuestion(RelayLinkId Link, std::string_view Bytes) {
+  auto Read = decodeRelayMessage(Bytes);
+  if (auto *Error = std::get_if<RelayError>(&Read)) {
+    Functions_.Unreadable(Error->Detail);
+    close(Link);
+    Functions_.Closed(Link);
+    return;
+  }
+  Functions_.Asked(Link, std::get<RelayMessage>(Read));
+}
+
+void RelayLinks::answer(RelayLinkId Link, const RelayMessage &Message) {
+  auto Found = Incoming_.find(Link);
+  if (Found != Incoming_.end())
+    Found->second->writeMessage(encodeRelayMessage(Message));
+}
+
+void RelayLinks::close(RelayLinkId Link) {
+  auto Found = Incoming_.find(Link);
+  if (Found == Incoming_.end())
+    return;
+  auto Stream = Found->second;
+  Incoming_.erase(Found);
+  Stream->close();
+}
+
+void RelayLinks::ask(const HostName &Host, const std::string &Address,
+                     const RelayMessage &Message) {
+  auto [Found, IsNew] = Outgoing_.try_emplace(Host);
+  std::string Bytes = encodeRelayMessage(Message);
+  if (Found->second.Stream) {
+    Found->second.Stream->writeMessage(Bytes);
+    return;
+  }
+  Found->second.Waiting.push_back(std::move(Bytes));
+  if (IsNew)
+    connect(Host, Address);
+}
+
+void RelayLinks::connect(const HostName &Host, const std::string &Address) {
+  std::uint64_t Attempt = ++LastAttempt_;
+  Outgoing_[Host].Attempt = Attempt;
+  // The result is taken up after the caller of this function has finished.
+  asio::post(Io_, [this, Host, Address, Attempt] {
+    connectStream(Io_, Address, Framing::LengthPrefixed, HostLimits,
+                  [this, Host, Attempt](const auto &Stream, bool) {
+                    onConnected(Host, Attempt, Stream);
+                  });
+  });
+}
+
+void RelayLinks::onConnected(const HostName &Host, std::uint64_t Attempt,
+                             const std::shared_ptr<MessageStream> &Stream) {
+  auto Found = Outgoing_.find(Host);
+  if (Found == Outgoing_.end() || Found->second.Attempt != Attempt) {
+    if (Stream)
+      Stream->close();
+    return;
+  }
+  if (!Stream) {
+    lose(Host);
+    return;
+  }
+  Outgoing &Opened = Found->second;
+  Opened.Stream = Stream;
+  Stream->start(
+      {[this, Host](std::string_view Bytes) { onAnswer(Host, Bytes); },
+       [this, Host, Attempt] {
+         auto Known = Outgoing_.find(Host);
+         if (Known != Outgoing_.end() && Known->second.Attempt == Attempt)
+           lose(Host);
+       }});
+  for (const std::string &Bytes : std::exchange(Opened.Waiting, {}))
+    Stream->writeMessage(Bytes);
+}
+
+void RelayLinks::onAnswer(const HostName &Host, std::string_view Bytes) {
+  auto Read = decodeRelayMessage(Bytes);
+  if (auto *Error = std::get_if<RelayError>(&Read)) {
+    Functions_.Unreadable(Error->Detail);
+    lose(Host);
+    return;
+  }
+  Functions_.Answered(Host, std::get<RelayMessage>(Read));
+}
+
+void RelayLinks::lose(const HostName &Host) {
+  auto Found = Outgoing_.find(Host);
+  bool WasOpen = Found != Outgoing_.end() && Found->second.Stream;
+  closeTo(Host);
+  Functions_.Lost(Host, WasOpen);
+}
+
+void RelayLinks::closeTo(const HostName &Host) {
+  auto Found = Outgoing_.find(Host);
+  if (Found == Outgoing_.end())
+    return;
+  auto Stream = Found->second.Stream;
+  Outgoing_.erase(Found);
+  if (Stream)
+    Stream->close();
+}
+
+} // namespace nutmegloom
--- a/packages/sessions/hostschedule.cpp
+++ b/packages/sessions/hostschedule.cpp
@@ -13,11 +13,11 @@
 constexpr Milliseconds RecordsInterval{350};
 /// Age of a leadership from which any host reads the records itself.
 constexpr Milliseconds RecordsAgeLimit{680};
-constexpr Milliseconds HostsListInterval{10000};
-constexpr Milliseconds FirstHostsListInterval{1500};
 constexpr std::size_t CloseWatchers = 2;
 constexpr Milliseconds CloseWatch{2000};
 constexpr Milliseconds DistantWatch{10000};
+/// Hosts that hold no connections hear of later versions from those that do.
+constexpr Milliseconds EntryWatch{25000};
 constexpr Milliseconds RefreshInterval{500};
 /// The platform takes a host out of rotation after two failed questions, one a
 /// second.
@@ -69,6 +69,8 @@
 }
 
 PeerScope HostSchedule::observationsDue(TimePoint Now) const {
+  if (!Registered_)
+    return PeerScope::None;
   if (Now - DistantSentAt_ >= DistantObservationInterval)
     return PeerScope::All;
   if (Now - SentAt_ >= ObservationInterval)
@@ -84,14 +86,9 @@
   HasNews_ = false;
 }
 
-bool HostSchedule::isHostsListDue(TimePoint Now) const {
-  Milliseconds Interval = Engine_.hosts().peers().empty()
-                              ? FirstHostsListInterval
-                              : HostsListInterval;
-  return Registered_ && Now - HostsListedAt_ >= Interval;
-}
-
 Milliseconds HostSchedule::watchWait(TimePoint Now) const {
+  if (!Registered_)
+    return EntryWatch;
   std::vector<HostName> Live = Engine_.hosts().liveHosts(Now);
   auto Rank = std::find(Live.begin(), Live.end(), Self_) - Live.begin();
   bool Close = static_cast<std::size_t>(Rank) < CloseWatchers;
@@ -112,6 +109,8 @@
     Found.Databases |=
         Peer->second.DatabaseListRevision > Engine_.databaseListRevision();
   }
+  Found.Configuration |= Engine_.router().configurationVersionSeen() >
+                         Engine_.sessions().configuration().Version;
   if (!Found.Configuration && !Found.Databases)
     return {};
   RefreshedAt_ = Now;
--- a/packages/sessions/hostschedule.h
+++ b/packages/sessions/hostschedule.h
@@ -30,8 +30,6 @@
   void onLeadershipChanged() { HasNews_ = true; }
   bool hasNews() const { return HasNews_; }
 
-  bool isHostsListDue(TimePoint Now) const;
-  void onHostsListed(TimePoint Now) { HostsListedAt_ = Now; }
   /// The host is listed itself: only then it reads records, since promoters
   /// rely on the list to know who does.
   void onRegistered() { Registered_ = true; }
@@ -58,7 +56,6 @@
   TimePoint RecordsReadAt_;
   TimePoint SentAt_;
   TimePoint DistantSentAt_;
-  TimePoint HostsListedAt_;
   TimePoint RefreshedAt_;
   /// What the previous look found to be old: most changes reach all hosts at
   /// the same moment by their own watches.
--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -13,21 +13,29 @@
 
 } // namespace
 
-void HostTable::applyListed(const std::map<HostName, std::string> &Addresses,
+void HostTable::applyListed(const std::map<HostName, ListedHost> &Hosts,
                             TimePoint BegunAt) {
   Listed_.clear();
   ListedAt_ = BegunAt;
-  for (const auto &[Host, Address] : Addresses) {
+  for (const auto &[Host, Entry] : Hosts) {
     if (Host == Self_)
       continue;
     Listed_.push_back(Host);
-    Peers_[Host].Address = Address;
+    Peer &Known = Peers_[Host];
+    Known.Address = Entry.Address;
+    Known.Zone = Entry.Zone;
+    if (!Entry.Region.empty())
+      Known.Region = Entry.Region;
   }
   std::erase_if(Peers_, [&](const auto &Entry) {
-    return !Addresses.contains(Entry.first) && !Entry.second.HeardAt;
+    return !Hosts.contains(Entry.first) && !Entry.second.HeardAt;
   });
 }
 
+bool HostTable::isListed(const HostName &Host) const {
+  return std::find(Listed_.begin(), Listed_.end(), Host) != Listed_.end();
+}
+
 bool HostTable::allFollow(const GroupId &Group, std::uint64_t Revision,
                           TimePoint Since) const {
   if (!ListedAt_ || *ListedAt_ < Since)
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -43,6 +43,14 @@
   std::vector<GroupObservation> Groups;
 };
 
+/// A host that the platform's store lists: it may hold connections to
+/// databases and go by leadership records.
+struct ListedHost {
+  std::string Address;
+  ZoneName Zone;
+  RegionName Region;
+};
+
 /// The other hosts, by what they last said.
 class HostTable {
 public:
@@ -51,6 +59,7 @@
 
   struct Peer {
     std::string Address;
+    ZoneName Zone;
     RegionName Region;
     std::uint64_t Incarnation = 0;
     std::uint64_t SentAt = 0;
@@ -66,8 +75,9 @@
   };
 
   /// The platform lists exactly these hosts, by a read that began at BegunAt.
-  void applyListed(const std::map<HostName, std::string> &Addresses,
+  void applyListed(const std::map<HostName, ListedHost> &Hosts,
                    TimePoint BegunAt);
+  bool isListed(const HostName &Host) const;
   /// True when every host that could go by an older record is known to go by
   /// the given revision or a later one. The hosts must have been listed after
   /// Since, when the revision was already written: a host reads records only
--- /dev/null
+++ b/packages/sessions/membership.cpp
@@ -0,0 +1,170 @@
+#include "sessions/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegloom {
+
+namespace {
+
+constexpr std::size_t MemberTarget = 12;
+constexpr std::size_t MinimumPerZone = 2;
+/// A host with small means leaves slots to others for this long.
+constexpr Milliseconds WeakDelay{800};
+/// Hosts with small means do not all list again at the same moment.
+constexpr std::size_t WeakDelaySpreadMs = 400;
+constexpr Milliseconds RetryInterval{400};
+/// A member lists to learn of new hosts, the others of new members.
+constexpr Milliseconds ListInterval{10000};
+constexpr Milliseconds FirstListInterval{1500};
+/// A host that was stopped has its slot back if it returns within this time.
+constexpr Milliseconds StoppedRetention{8000};
+
+} // namespace
+
+Membership::Membership(HostName Self, ListedHost Place, std::size_t Zones,
+                       bool Strong, Hooks Functions)
+    : Self_(std::move(Self)), Place_(std::move(Place)), Zones_(Zones),
+      Strong_(Strong), Functions_(std::move(Functions)) {}
+
+std::size_t Membership::slotsPerZone() const {
+  return std::max(MinimumPerZone,
+                  MemberTarget / std::max<std::size_t>(1, Zones_));
+}
+
+void Membership::list(TimePoint Now) {
+  Listing_ = true;
+  ListedAt_ = Now;
+  Functions_.List();
+}
+
+void Membership::onListFailed() { Listing_ = false; }
+
+void Membership::onListed(std::vector<MemberSlot> Slots, TimePoint Now) {
+  Listing_ = false;
+  Listed_ = true;
+  if (!FirstListedAt_)
+    FirstListedAt_ = Now;
+  Slots_ = std::move(Slots);
+  auto Own = std::find_if(Slots_.begin(), Slots_.end(),
+                          [&](const auto &Slot) { return Slot.Host == Self_; });
+  if (Member_ || Stopping_ || Own == Slots_.end())
+    return;
+  Own_ = *Own;
+  bool Same = !Own->Stopped && Own->Place.Address == Place_.Address;
+  if (Same)
+    join(Own->Revision);
+}
+
+void Membership::join(std::uint64_t Revision) {
+  Own_.Revision = Revision;
+  Member_ = true;
+  Functions_.Decided(true);
+}
+
+bool Membership::isTakeable(const MemberSlot &Slot, TimePoint Now) {
+  if (Slot.Host == Self_)
+    return true;
+  if (!Slot.Stopped) {
+    StoppedSince_.erase(Slot.Name);
+    return false;
+  }
+  TimePoint Since = StoppedSince_.try_emplace(Slot.Name, Now).first->second;
+  return Now - Since >= StoppedRetention;
+}
+
+/// The host's own slot, or one of its zone that nobody holds. Hosts begin at
+/// different slots.
+std::optional<MemberSlot> Membership::freeSlot(TimePoint Now) {
+  std::size_t Count = slotsPerZone();
+  std::size_t First = std::hash<HostName>{}(Self_) % Count;
+  std::optional<MemberSlot> Free;
+  for (std::size_t Step = 0; Step < Count; ++Step) {
+    MemberSlot Wanted;
+    Wanted.Name = Place_.Zone + "." + std::to_string((First + Step) % Count);
+    auto Known =
+        std::find_if(Slots_.begin(), Slots_.end(), [&](const auto &Slot) {
+          return Slot.Name == Wanted.Name;
+        });
+    if (Known != Slots_.end() && !isTakeable(*Known, Now))
+      continue;
+    if (Known != Slots_.end())
+      Wanted.Revision = Known->Revision;
+    bool IsOwn = Known != Slots_.end() && Known->Host == Self_;
+    if (IsOwn || !Free)
+      Free = Wanted;
+    if (IsOwn)
+      break;
+  }
+  return Free;
+}
+
+void Membership::tick(TimePoint Now) {
+  if (Listing_ || Writing_ || Stopping_)
+    return;
+  Milliseconds Interval = ListInterval;
+  if (!Listed_)
+    Interval = RetryInterval;
+  else if (Member_ && Slots_.size() <= 1)
+    Interval = FirstListInterval;
+  if (Now - ListedAt_ >= Interval) {
+    list(Now);
+    return;
+  }
+  if (Member_ || !Listed_)
+    return;
+  std::optional<MemberSlot> Free = freeSlot(Now);
+  if (!Free) {
+    if (!std::exchange(NoneFree_, true))
+      Functions_.Decided(false);
+    return;
+  }
+  bool IsOwn = Own_.Name == Free->Name;
+  Milliseconds Delay = WeakDelay + Milliseconds{std::hash<HostName>{}(Self_) %
+                                                WeakDelaySpreadMs};
+  bool MustWait = !Strong_ && !IsOwn;
+  if (MustWait && Now - *FirstListedAt_ < Delay)
+    return;
+  // What was listed before the wait is old.
+  if (MustWait && ListedAt_ < *FirstListedAt_ + Delay) {
+    list(Now);
+    return;
+  }
+  Own_ = *Free;
+  Own_.Host = Self_;
+  Own_.Place = Place_;
+  Writing_ = true;
+  Functions_.Write(Own_, Own_.Revision);
+}
+
+void Membership::onWritten(WriteOutcome Outcome, std::uint64_t Revision,
+                           TimePoint Now) {
+  Writing_ = false;
+  if (Stopping_)
+    return;
+  if (Outcome == WriteOutcome::Written) {
+    join(Revision);
+    list(Now);
+    return;
+  }
+  // Another host has the slot, or this one has it and was not told.
+  MemberSlot Taken;
+  Taken.Name = std::exchange(Own_, MemberSlot{}).Name;
+  std::erase_if(Slots_, [&](const auto &S) { return S.Name == Taken.Name; });
+  if (Outcome == WriteOutcome::Conflict)
+    Slots_.push_back(Taken);
+  else
+    Listed_ = false;
+}
+
+void Membership::stop() {
+  Stopping_ = true;
+  if (!Member_)
+    return;
+  Member_ = false;
+  MemberSlot Ended = Own_;
+  Ended.Stopped = true;
+  Functions_.Write(Ended, Ended.Revision);
+}
+
+} // namespace nutmegloom
--- /dev/null
+++ b/packages/sessions/membership.h
@@ -0,0 +1,85 @@
+#ifndef NUTMEGLOOM_SESSIONS_MEMBERSHIP_H
+#define NUTMEGLOOM_SESSIONS_MEMBERSHIP_H
+
+#include "sessions/dutykeeper.h"
+
+#include <functional>
+
+namespace nutmegloom {
+
+/// A place in the platform's list of the hosts that hold connections to
+/// databases. Each availability zone has a few.
+struct MemberSlot {
+  /// Availability zone and number.
+  std::string Name;
+  HostName Host;
+  ListedHost Place;
+  /// The host has ended: it uses no database any more.
+  bool Stopped = false;
+  /// Version in the store; zero: it is not there.
+  std::uint64_t Revision = 0;
+};
+
+/// Whether this host is one of those that hold connections to databases.
+///
+/// It answers the load of more hosts than a database has connections, and
+/// bounds what hosts must tell each other: only members read leaderships and
+/// exchange observations, the others send their statements to members. With few
+/// hosts all are members. Slots are written on condition, so hosts that start
+/// together take different ones; a host that restarts takes its own again.
+class Membership {
+public:
+  struct Hooks {
+    /// Writes a slot if its revision in the store is still Expected (zero:
+    /// there is none). Ends in onWritten.
+    std::function<void(const MemberSlot &, std::uint64_t Expected)> Write;
+    /// Lists the slots. Ends in onListed or onListFailed.
+    std::function<void()> List;
+    /// This host is a member from now on, or it is not for the time being.
+    std::function<void(bool IsMember)> Decided;
+  };
+
+  /// Strong: the host has the means for the work of others.
+  Membership(HostName Self, ListedHost Place, std::size_t Zones, bool Strong,
+             Hooks Functions);
+
+  void onListed(std::vector<MemberSlot> Slots, TimePoint Now);
+  void onListFailed();
+  void onWritten(WriteOutcome Outcome, std::uint64_t Revision, TimePoint Now);
+  void tick(TimePoint Now);
+  /// This host uses no database any more.
+  void stop();
+
+  bool isMember() const { return Member_; }
+  /// True when it is known whether this host is a member.
+  bool isDecided() const { return Member_ || NoneFree_; }
+
+private:
+  std::size_t slotsPerZone() const;
+  std::optional<MemberSlot> freeSlot(TimePoint Now);
+  bool isTakeable(const MemberSlot &Slot, TimePoint Now);
+  void list(TimePoint Now);
+  void join(std::uint64_t Revision);
+
+  HostName Self_;
+  ListedHost Place_;
+  std::size_t Zones_;
+  bool Strong_;
+  Hooks Functions_;
+  std::vector<MemberSlot> Slots_;
+  bool Listed_ = false;
+  bool Listing_ = false;
+  bool Writing_ = false;
+  bool Member_ = false;
+  bool NoneFree_ = false;
+  bool Stopping_ = false;
+  MemberSlot Own_;
+  std::optional<TimePoint> FirstListedAt_;
+  TimePoint ListedAt_;
+  /// When slots were first seen to be those of hosts that have ended.
+  std::map<std::string, TimePoint> StoppedSince_;
+};
+
+} // namespace nutmegloom
+
+#endif // NUTMEGLOOM_SESSIONS_MEMBERSHIP_H
--- /dev/null
+++ b/packages/sessions/relayedsessions.cpp
@@ -0,0 +1,149 @@
+#include "sessions/relayedsessions.h"
+
+namespace nutmegloom {
+
+namespace {
+
+constexpr CallerSessionId RelayedBit = CallerSessionId{1} << 62;
+/// Hosts with sessions here send a ping several times a second.
+constexpr Milliseconds SilenceTimeout{3000};
+
+} // namespace
+
+bool RelayedSessions::isRelayed(CallerSessionId Session) {
+  return (Session & RelayedBit) != 0;
+}
+
+void RelayedSessions::onReceived(RelayLinkId Link, const RelayMessage &Message,
+                                 TimePoint Now) {
+  HeardAt_[Link] = Now;
+  if (const auto *Asked = std::get_if<RelayedWork>(&Message))
+    run(Link, *Asked, Now);
+  else if (const auto *Ended = std::get_if<RelayedEnd>(&Message))
+    end({Link, Ended->Session}, Now);
+  else if (std::holds_alternative<RelayPing>(Message))
+    Functions_.Send(Link, pong());
+}
+
+void RelayedSessions::run(RelayLinkId Link, const RelayedWork &Message,
+                          TimePoint Now) {
+  Origin From{Link, Message.Work.Session};
+  auto [Number, IsNew] = Numbers_.try_emplace(From, LastNumber_ + 1);
+  if (IsNew)
+    Number->second = RelayedBit | ++LastNumber_;
+  CallerSessionId Session = Number->second;
+  Relayed &Held = Sessions_[Session];
+  Held.From = From;
+  Held.Statement = Message.Number;
+  if (Message.InOpenTransaction && !Held.Pinned) {
+    StatementResult Result;
+    Result.Answer.Code = StatementCode::Aborted;
+    Result.Answer.Detail = "the transaction's connection is lost";
+    onFinished(Session, std::move(Result));
+    return;
+  }
+  StatementWork Work = Message.Work;
+  Work.Session = Session;
+  Work.Pinned = Held.Pinned;
+  Work.ReceivedAt = Now;
+  Work.Deadline = Now + Message.TimeLeft;
+  Held.HasStatement = true;
+  Runner_.submit(std::move(Work), Now);
+}
+
+void RelayedSessions::end(const Origin &From, TimePoint Now) {
+  auto Number = Numbers_.find(From);
+  if (Number == Numbers_.end())
+    return;
+  CallerSessionId Session = Number->second;
+  std::optional<ConnectionId> Pinned = Sessions_.at(Session).Pinned;
+  Numbers_.erase(Number);
+  Sessions_.erase(Session);
+  Runner_.abandon(Session, Pinned, Now);
+}
+
+void RelayedSessions::onLinkClosed(RelayLinkId Link, TimePoint Now) {
+  HeardAt_.erase(Link);
+  std::vector<Origin> Ended;
+  for (auto At = Numbers_.lower_bound({Link, 0});
+       At != Numbers_.end() && At->first.first == Link; ++At)
+    Ended.push_back(At->first);
+  for (const Origin &From : Ended)
+    end(From, Now);
+}
+
+bool RelayedSessions::hasSessions(RelayLinkId Link) const {
+  auto First = Numbers_.lower_bound({Link, 0});
+  return First != Numbers_.end() && First->first.first == Link;
+}
+
+RelayPong RelayedSessions::pong() const {
+  return {Functions_.ConfigurationVersion(), Leaving_};
+}
+
+void RelayedSessions::beginDrain() {
+  Leaving_ = true;
+  for (const auto &[Link, At] : HeardAt_)
+    Functions_.Send(Link, pong());
+}
+
+void RelayedSessions::endTransactions(TimePoint Now) {
+  std::vector<CallerSessionId> Resting;
+  for (const auto &[Session, Held] : Sessions_)
+    if (Held.Pinned && !Held.HasStatement)
+      Resting.push_back(Session);
+  for (CallerSessionId Session : Resting) {
+    Runner_.rollBack(*Sessions_.at(Session).Pinned, Now);
+    onTransactionLost(Session);
+  }
+}
+
+void RelayedSessions::tick(TimePoint Now) {
+  std::vector<RelayLinkId> Silent;
+  for (const auto &[Link, At] : HeardAt_)
+    if (Now - At > SilenceTimeout && hasSessions(Link))
+      Silent.push_back(Link);
+  for (RelayLinkId Link : Silent) {
+    Functions_.Close(Link);
+    onLinkClosed(Link, Now);
+  }
+}
+
+void RelayedSessions::onFinished(CallerSessionId Session,
+                                 StatementResult Result) {
+  auto Found = Sessions_.find(Session);
+  if (Found == Sessions_.end())
+    return;
+  Relayed &Held = Found->second;
+  Held.HasStatement = false;
+  Held.Pinned = Result.Pinned;
+  RelayLinkId Link = Held.From.first;
+  RelayedResult Message;
+  Message.Session = Held.From.second;
+  Message.InTransaction = Result.Pinned.has_value();
+  Message.Number = Held.Statement;
+  Message.Result = std::move(Result);
+  forgetIfIdle(Session);
+  Functions_.Send(Link, Message);
+}
+
+void RelayedSessions::onTransactionLost(CallerSessionId Session) {
+  auto Found = Sessions_.find(Session);
+  if (Found == Sessions_.end())
+    return;
+  Found->second.Pinned.reset();
+  Origin From = Found->second.From;
+  forgetIfIdle(Session);
+  Functions_.Send(From.first, RelayedLoss{From.second});
+}
+
+/// A session without a statement and a transaction leaves nothing to keep.
+void RelayedSessions::forgetIfIdle(CallerSessionId Session) {
+  const Relayed &Held = Sessions_.at(Session);
+  if (Held.HasStatement || Held.Pinned)
+    return;
+  Numbers_.erase(Held.From);
+  Sessions_.erase(Session);
+}
+
+} // namespace nutmegloom
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -20,32 +20,51 @@
 } // namespace
 
 SessionEngine::SessionEngine(HostName Self, std::uint64_t Incarnation,
-                             std::string Address, RegionName Region,
-                             DatabaseTable::Measure Measure, Hooks Functions)
-    : Address_(std::move(Address)), Region_(std::move(Region)),
-      Functions_(std::move(Functions)), Table_(std::move(Measure)),
-      Hosts_(std::move(Self), Incarnation),
+                             ListedHost Place, DatabaseTable::Measure Measure,
+                             Hooks Functions)
+    : Place_(std::move(Place)), Functions_(std::move(Functions)),
+      Table_(std::move(Measure)), Hosts_(std::move(Self), Incarnation),
       Runner_(Table_, Authority_, Functions_.Connections,
               {Functions_.Send,
                [this](CallerSessionId Session, StatementResult Result,
                       TimePoint Now) {
-                 Proxy_.onFinished(Session, std::move(Result), Now);
+                 if (RelayedSessions::isRelayed(Session))
+                   Relayed_.onFinished(Session, std::move(Result));
+                 else
+                   Proxy_.onFinished(Session, std::move(Result), Now);
                },
                [this](CallerSessionId Session) {
-                 Proxy_.onTransactionLost(Session);
+                 if (RelayedSessions::isRelayed(Session))
+                   Relayed_.onTransactionLost(Session);
+                 else
+                   Proxy_.onTransactionLost(Session);
                },
                [this](const GroupId &Group, TimePoint Now) {
                  return Promotions_.leaderExpectedIn(Group, Now);
                }}),
-      Proxy_(Runner_, Functions_.Sessions),
+      Relayed_(Runner_, Functions_.Relayed),
+      Router_(Runner_, Table_, Authority_, Hosts_,
+              {Functions_.AskHost, Functions_.CloseRelay,
+               [this](CallerSessionId Session, StatementResult Result,
+                      TimePoint Now) {
+                 Proxy_.onFinished(Session, std::move(Result), Now);
+               },
+               [this](CallerSessionId Session) {
+                 Proxy_.onTransactionLost(Session);
+               }}),
+      Proxy_(Router_, Functions_.Sessions),
       Promotions_(Table_, Hosts_, Authority_, Functions_.Promotions),
-      Check_(Table_, Hosts_, Authority_, Functions_.Promotions.Ask) {}
+      Check_(Table_, Hosts_, Authority_, Functions_.Promotions.Ask) {
+  Router_.setPlace(Place_.Zone, Place_.Region);
+}
 
 void SessionEngine::applyConfiguration(SessionConfiguration Configuration,
                                        TimePoint Now) {
   (void)Now;
-  for (const auto &[Group, Settings] : Configuration.Groups)
+  for (const auto &[Group, Settings] : Configuration.Groups) {
     Promotions_.setSynchronousReplicas(Group, Settings.SynchronousReplicas);
+    Runner_.pool().setCap(Group, Settings.ConnectionCap);
+  }
   Proxy_.applyConfiguration(std::move(Configuration));
 }
 
@@ -135,9 +154,9 @@
   Promotions_.setStoreReachedSince(StoreReachedSince_);
 }
 
-void SessionEngine::applyHosts(const std::map<HostName, std::string> &Addresses,
+void SessionEngine::applyHosts(const std::map<HostName, ListedHost> &Listed,
                                TimePoint BegunAt) {
-  Hosts_.applyListed(Addresses, BegunAt);
+  Hosts_.applyListed(Listed, BegunAt);
 }
 
 void SessionEngine::onProbed(const DatabaseId &Database, bool Answered,
@@ -176,8 +195,8 @@
   HostObservation Message;
   Message.Host = Hosts_.self();
   Message.Incarnation = Hosts_.incarnation();
-  Message.Address = Address_;
-  Message.Region = Region_;
+  Message.Address = Place_.Address;
+  Message.Region = Place_.Region;
   Message.Leaving = Leaving_;
   Message.ReachesStore = ReachesStore_;
   Message.ConfigurationVersion = Proxy_.configuration().Version;
@@ -256,6 +275,8 @@
   Runner_.pool().setHosts(Hosts_.connectionHolders(Now));
   probeSilentDatabases(Now);
   Runner_.tick(Now);
+  Relayed_.tick(Now);
+  Router_.tick(Now);
   Proxy_.tick(Now);
   Promotions_.tick(Now);
   Check_.tick(Now);
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -3,6 +3,7 @@
 
 #include "sessions/leadershipcheck.h"
 #include "sessions/promotionsystem.h"
+#include "sessions/relayedsessions.h"
 #include "sessions/sessionproxy.h"
 
 namespace nutmegloom {
@@ -18,18 +19,27 @@
     PromotionSystem::Hooks Promotions;
     /// Asks whether a database's process answers at all. Ends in onProbed.
     std::function<void(const DatabaseListing &)> Probe;
+    /// To other hosts that run statements for this one.
+    std::function<void(const HostName &, const RelayMessage &)> AskHost;
+    std::function<void(const HostName &)> CloseRelay;
+    /// To other hosts that this one runs statements for.
+    RelayedSessions::Hooks Relayed;
     /// A group's leader or its phase changed.
     std::function<void(const LeadershipRecord &)> LeadershipChanged;
   };
 
-  SessionEngine(HostName Self, std::uint64_t Incarnation, std::string Address,
-                RegionName Region, DatabaseTable::Measure Measure,
-                Hooks Functions);
+  /// Place: where this host is and where others reach it.
+  SessionEngine(HostName Self, std::uint64_t Incarnation, ListedHost Place,
+                DatabaseTable::Measure Measure, Hooks Functions);
 
   SessionProxy &sessions() { return Proxy_; }
   const SessionProxy &sessions() const { return Proxy_; }
   StatementRunner &runner() { return Runner_; }
   const StatementRunner &runner() const { return Runner_; }
+  StatementRouter &router() { return Router_; }
+  const StatementRouter &router() const { return Router_; }
+  RelayedSessions &relayed() { return Relayed_; }
+  const RelayedSessions &relayed() const { return Relayed_; }
   PromotionSystem &promotions() { return Promotions_; }
   const PromotionSystem &promotions() const { return Promotions_; }
   HostTable &hosts() { return Hosts_; }
@@ -54,7 +64,7 @@
                 const std::optional<DatabaseReport> &Report, TimePoint BegunAt,
                 TimePoint Now);
   /// The store lists these hosts, by a read that began at BegunAt.
-  void applyHosts(const std::map<HostName, std::string> &Addresses,
+  void applyHosts(const std::map<HostName, ListedHost> &Listed,
                   TimePoint BegunAt);
   void onProbed(const DatabaseId &Database, bool Answered, TimePoint BegunAt,
                 TimePoint Now);
@@ -66,6 +76,10 @@
   /// Whether the store answered this host's latest call.
   void setReachesStore(bool Reaches, TimePoint Now);
   void setLeaving() { Leaving_ = true; }
+  /// Whether this host holds connections to databases.
+  void setMember(bool Member, TimePoint Now) {
+    Router_.setServesDatabases(Member, Now);
+  }
   std::uint64_t databaseListRevision() const { return ListRevision_; }
   void tick(TimePoint Now);
 
@@ -77,13 +91,14 @@
   void useDatabases(TimePoint Now);
   void probeSilentDatabases(TimePoint Now);
 
-  std::string Address_;
-  RegionName Region_;
+  ListedHost Place_;
   Hooks Functions_;
   DatabaseTable Table_;
   LeaderAuthority Authority_;
   HostTable Hosts_;
   StatementRunner Runner_;
+  RelayedSessions Relayed_;
+  StatementRouter Router_;
   SessionProxy Proxy_;
   PromotionSystem Promotions_;
   LeadershipCheck Check_;
--- a/packages/sessions/sessionproxy.cpp
+++ b/packages/sessions/sessionproxy.cpp
@@ -4,15 +4,13 @@
 
 namespace nutmegloom {
 
-SessionProxy::SessionProxy(StatementRunner &Runner, Hooks Functions)
-    : Runner_(Runner), Functions_(std::move(Functions)) {}
+SessionProxy::SessionProxy(StatementRouter &Router, Hooks Functions)
+    : Router_(Router), Functions_(std::move(Functions)) {}
 
 void SessionProxy::applyConfiguration(SessionConfiguration Configuration) {
   if (Configuration.Version <= Configuration_.Version)
     return;
   Configuration_ = std::move(Configuration);
-  for (const auto &[Group, Settings] : Configuration_.Groups)
-    Runner_.pool().setCap(Group, Settings.ConnectionCap);
 }
 
 SessionProxy::OpenResult SessionProxy::open(CallerSessionId Id,
@@ -31,7 +29,7 @@
     return;
   std::optional<ConnectionId> Pinned = Found->second.Pinned;
   Sessions_.erase(Found);
-  Runner_.abandon(Id, Pinned, Now);
+  Router_.abandon(Id, Pinned, Now);
 }
 
 const SessionRoute *SessionProxy::routeOf(const Session &Held) const {
@@ -122,7 +120,7 @@
 
 void SessionProxy::rollBack(CallerSessionId Id, Session &Held, TimePoint Now) {
   if (Held.Pinned)
-    Runner_.rollBack(*Held.Pinned, Now);
+    Router_.rollBack(*Held.Pinned, Now);
   endTransaction(Held);
   answerLocally(Id, Held, StatementCode::Done, "", Now);
 }
@@ -188,7 +186,7 @@
     if (Found == Held.Prepared.end()) {
       if (Held.State == SessionState::InTransaction) {
         if (Held.Pinned)
-          Runner_.rollBack(*Held.Pinned, Now);
+          Router_.rollBack(*Held.Pinned, Now);
         Held.Pinned.reset();
         Held.State = SessionState::Failed;
       }
@@ -226,7 +224,7 @@
   Work.Priority = Held.Route.Priority;
   Work.ReceivedAt = Now;
   Work.Deadline = Now + Held.Route.StatementTimeout;
-  Runner_.submit(std::move(Work), Now);
+  Router_.submit(std::move(Work), Now);
 }
 
 void SessionProxy::onFinished(CallerSessionId Id, StatementResult Result,
@@ -295,6 +293,7 @@
   Report.Detail = Answer.Detail;
   Report.Database = Result.Database;
   Report.Attempts = Result.Attempts;
+  Report.Via = Result.Via;
   Report.ConfigurationVersion = Configuration_.Version;
   Report.Time = Now - Held.ReceivedAt;
   Functions_.Report(Report);
@@ -320,7 +319,7 @@
   for (auto &[Id, Held] : Sessions_) {
     if (Held.Current || !Held.Pinned)
       continue;
-    Runner_.rollBack(*Held.Pinned, Now);
+    Router_.rollBack(*Held.Pinned, Now);
     Held.Pinned.reset();
     Held.Lost = true;
   }
@@ -332,7 +331,7 @@
     if (!Resting ||
         Now - Held.IdleSince < Configuration_.TransactionIdleTimeout)
       continue;
-    Runner_.rollBack(*Held.Pinned, Now);
+    Router_.rollBack(*Held.Pinned, Now);
     Held.Pinned.reset();
     Held.Lost = true;
   }
--- a/packages/sessions/sessionproxy.h
+++ b/packages/sessions/sessionproxy.h
@@ -1,7 +1,7 @@
 #ifndef NUTMEGLOOM_SESSIONS_SESSIONPROXY_H
 #define NUTMEGLOOM_SESSIONS_SESSIONPROXY_H
 
-#include "sessions/statementrunner.h"
+#include "sessions/statementrouter.h"
 
 namespace nutmegloom {
 
@@ -16,6 +16,8 @@
   std::string_view Detail;
   DatabaseId Database;
   std::uint32_t Attempts = 0;
+  /// Other host that was asked to run it; empty: none.
+  HostName Via;
   /// Position that the database's log had to hold.
   std::optional<Position> Floor;
   /// Age of the confirmation of the group's leader.
@@ -25,7 +27,7 @@
 };
 
 /// Callers' sessions: their values, prepared statements and transactions. What
-/// needs no database is answered here; the rest goes to the statement runner.
+/// needs no database is answered here; the rest goes to the statement router.
 class SessionProxy {
 public:
   struct Hooks {
@@ -34,7 +36,7 @@
     std::function<void(const StatementReport &)> Report;
   };
 
-  SessionProxy(StatementRunner &Runner, Hooks Functions);
+  SessionProxy(StatementRouter &Router, Hooks Functions);
 
   void applyConfiguration(SessionConfiguration Configuration);
   const SessionConfiguration &configuration() const { return Configuration_; }
@@ -93,7 +95,7 @@
   void endTransaction(Session &Held);
   const SessionRoute *routeOf(const Session &Held) const;
 
-  StatementRunner &Runner_;
+  StatementRouter &Router_;
   Hooks Functions_;
   SessionConfiguration Configuration_;
   std::map<CallerSessionId, Session> Sessions_;
--- /dev/null
+++ b/packages/sessions/statementrouter.cpp
@@ -0,0 +1,389 @@
+#include "sessions/statementrouter.h"
+
+#include "sessions/relayedsessions.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace nutmegloom {
+
+namespace {
+
+/// Stands for the connection of a transaction at another host; the other bits
+/// are the session.
+constexpr ConnectionId RemoteBit = ConnectionId{1} << 63;
+constexpr std::uint32_t MaximumTries = 3;
+/// Another host's answer from a leader counts for this long.
+constexpr Milliseconds LeaderAnswerAge{700};
+/// A leader that has failed for this long is tried through another host.
+constexpr Milliseconds LeaderFailureAge{100};
+/// Left for the other host's answer after its own time is up.
+constexpr Milliseconds AnswerSlack{30};
+constexpr Milliseconds NoHostRetry{500};
+/// Time between pings to a host on which sessions depend, and to the nearest
+/// one, which tells of later configurations.
+constexpr Milliseconds BusyPingInterval{250};
+constexpr Milliseconds IdlePingInterval{1000};
+/// A host whose connection is lost may be back.
+constexpr Milliseconds LostPingInterval{500};
+constexpr Milliseconds PingTimeout{700};
+/// A host that stops gets no new work for as long as its stop may take.
+constexpr Milliseconds LeavingAvoidance{6000};
+
+ConnectionId remotePin(CallerSessionId Session) { return RemoteBit | Session; }
+
+bool isRemote(ConnectionId Pinned) { return (Pinned & RemoteBit) != 0; }
+
+/// True for a session that a caller has open at this host.
+bool isOwn(CallerSessionId Session) {
+  return !RelayedSessions::isRelayed(Session);
+}
+
+} // namespace
+
+StatementRouter::StatementRouter(StatementRunner &Runner,
+                                 const DatabaseTable &Table,
+                                 const LeaderAuthority &Authority,
+                                 const HostTable &Hosts, Hooks Functions)
+    : Runner_(Runner), Table_(Table), Authority_(Authority), Hosts_(Hosts),
+      Functions_(std::move(Functions)) {}
+
+void StatementRouter::setPlace(ZoneName Zone, RegionName Region) {
+  Zone_ = std::move(Zone);
+  Region_ = std::move(Region);
+}
+
+void StatementRouter::submit(StatementWork Work, TimePoint Now) {
+  if (Work.Pinned && isRemote(*Work.Pinned)) {
+    HostName Host = Transactions_.at(Work.Session);
+    relay(std::move(Work), Host, MaximumTries, Now);
+    return;
+  }
+  if (Work.Pinned) {
+    Runner_.submit(std::move(Work), Now);
+    return;
+  }
+  route(std::move(Work), 1, Now);
+}
+
+void StatementRouter::route(StatementWork Work, std::uint32_t Tries,
+                            TimePoint Now) {
+  if (std::optional<HostName> Host = hostFor(Work, Now))
+    relay(std::move(Work), *Host, Tries, Now);
+  else if (ServesDatabases_)
+    Runner_.submit(std::move(Work), Now);
+  else
+    refuse(Work, Now);
+}
+
+void StatementRouter::setServesDatabases(bool Serves, TimePoint Now) {
+  ServesDatabases_ = Serves;
+  if (Serves)
+    return;
+  for (const GroupId &Group : Runner_.waitingGroups())
+    for (StatementWork &Work : Runner_.withdrawUnplaceable(Group, isOwn, Now))
+      route(std::move(Work), 1, Now);
+}
+
+std::optional<HostName> StatementRouter::hostFor(const StatementWork &Work,
+                                                 TimePoint Now) const {
+  if (!ServesDatabases_)
+    return nearestMember(Now);
+  if (Runner_.hasPlaceFor(Work, Now))
+    return std::nullopt;
+  return hostReachingLeader(Work.Group, Now);
+}
+
+bool StatementRouter::isAvoided(const HostName &Host, TimePoint Now) const {
+  auto Found = Health_.find(Host);
+  return Found != Health_.end() &&
+         (Found->second.Lost || Now < Found->second.AvoidUntil);
+}
+
+Distance StatementRouter::distanceTo(const HostTable::Peer &Peer) const {
+  if (Peer.Zone == Zone_)
+    return Distance::SameZone;
+  return Peer.Region == Region_ ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+/// The nearest of the listed hosts, and of those the one with the fewest
+/// statements of this host.
+std::optional<HostName> StatementRouter::nearestMember(TimePoint Now) const {
+  std::optional<HostName> Best;
+  std::tuple<Distance, std::size_t> Least;
+  for (const auto &[Name, Peer] : Hosts_.peers()) {
+    if (!Hosts_.isListed(Name) || Peer.Leaving || isAvoided(Name, Now))
+      continue;
+    auto Load = Load_.find(Name);
+    std::tuple<Distance, std::size_t> Cost{
+        distanceTo(Peer), Load == Load_.end() ? 0 : Load->second};
+    if (Best && Cost >= Least)
+      continue;
+    Best = Name;
+    Least = Cost;
+  }
+  return Best;
+}
+
+/// A host that a leader has answered lately, for a host that the leader fails
+/// to answer.
+std::optional<HostName>
+StatementRouter::hostReachingLeader(const GroupId &Group, TimePoint Now) const {
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (!Record || Record->Phase != LeadershipPhase::Settled)
+    return std::nullopt;
+  const DatabaseView *Leader = Table_.find(Record->Leader);
+  bool Fails = Leader && Leader->FailingSince &&
+               Now - *Leader->FailingSince >= LeaderFailureAge;
+  if (!Fails)
+    return std::nullopt;
+  std::optional<HostName> Best;
+  Distance Least = Distance::OtherRegion;
+  for (const auto &[Name, Peer] : Hosts_.peers()) {
+    auto Answered = Peer.LeaderAnswered.find(Record->Leader);
+    bool Reaches = Answered != Peer.LeaderAnswered.end() &&
+                   Now - Answered->second <= LeaderAnswerAge;
+    if (!Reaches || !Hosts_.isLive(Name, Now) || Peer.Leaving ||
+        isAvoided(Name, Now))
+      continue;
+    if (Best && distanceTo(Peer) >= Least)
+      continue;
+    Best = Name;
+    Least = distanceTo(Peer);
+  }
+  return Best;
+}
+
+void StatementRouter::relay(StatementWork Work, const HostName &Host,
+                            std::uint32_t Tries, TimePoint Now) {
+  auto Known = Hosts_.peers().find(Host);
+  Distance Away = Known == Hosts_.peers().end() ? Distance::OtherRegion
+                                                : distanceTo(Known->second);
+  auto Left = std::chrono::floor<Milliseconds>(Work.Deadline - Now);
+  RelayedWork Message;
+  Message.Work = Work;
+  Message.TimeLeft = Left - roundTripOf(Away);
+  Message.InOpenTransaction = Work.Pinned.has_value();
+  Message.Number = ++LastNumber_;
+  CallerSessionId Session = Work.Session;
+  ++Load_[Host];
+  Works_[Session] = {std::move(Work), Host, Tries, Message.Number};
+  // So that the connection is watched from now on.
+  Health_.try_emplace(Host);
+  Functions_.Send(Host, Message);
+}
+
+/// No host that could run it is known.
+void StatementRouter::refuse(const StatementWork &Work, TimePoint Now) {
+  StatementResult Result;
+  Result.Answer.Code = StatementCode::Busy;
+  Result.Answer.Detail = "no host reaches the databases, not run";
+  Result.RetryAfter = NoHostRetry;
+  Functions_.Finished(Work.Session, std::move(Result), Now);
+}
+
+void StatementRouter::abandon(CallerSessionId Session,
+                              std::optional<ConnectionId> Pinned,
+                              TimePoint Now) {
+  auto Work = Works_.find(Session);
+  auto Open = Transactions_.find(Session);
+  if (Work == Works_.end() && Open == Transactions_.end()) {
+    Runner_.abandon(Session, Pinned, Now);
+    return;
+  }
+  HostName Host = Work != Works_.end() ? Work->second.Host : Open->second;
+  if (Work != Works_.end()) {
+    --Load_[Host];
+    Works_.erase(Work);
+  }
+  Transactions_.erase(Session);
+  Functions_.Send(Host, RelayedEnd{Session});
+}
+
+void StatementRouter::rollBack(ConnectionId Pinned, TimePoint Now) {
+  if (!isRemote(Pinned)) {
+    Runner_.rollBack(Pinned, Now);
+    return;
+  }
+  CallerSessionId Session = Pinned & ~RemoteBit;
+  auto Open = Transactions_.find(Session);
+  if (Open == Transactions_.end())
+    return;
+  HostName Host = Open->second;
+  Transactions_.erase(Open);
+  Functions_.Send(Host, RelayedEnd{Session});
+}
+
+void StatementRouter::onPong(Health &Known, const RelayPong &Message,
+                             TimePoint Now) {
+  VersionSeen_ = std::max(VersionSeen_, Message.ConfigurationVersion);
+  if (Message.Leaving)
+    Known.AvoidUntil = Now + LeavingAvoidance;
+}
+
+void StatementRouter::onReceived(const HostName &Host,
+                                 const RelayMessage &Message, TimePoint Now) {
+  Health &Known = Health_[Host];
+  Known.Lost = false;
+  Known.HeardAt = Now;
+  Known.AwaitsAnswer = false;
+  if (const auto *Pong = std::get_if<RelayPong>(&Message))
+    onPong(Known, *Pong, Now);
+  if (const auto *Ended = std::get_if<RelayedResult>(&Message)) {
+    onResult(Host, *Ended, Now);
+    return;
+  }
+  const auto *Lost = std::get_if<RelayedLoss>(&Message);
+  if (!Lost)
+    return;
+  auto Open = Transactions_.find(Lost->Session);
+  if (Open == Transactions_.end() || Open->second != Host)
+    return;
+  Transactions_.erase(Open);
+  Functions_.TransactionLost(Lost->Session);
+}
+
+void StatementRouter::onResult(const HostName &Host,
+                               const RelayedResult &Message, TimePoint Now) {
+  auto Found = Works_.find(Message.Session);
+  // The answer to a statement that was given up.
+  if (Found == Works_.end() || Found->second.Number != Message.Number)
+    return;
+  --Load_[Host];
+  Works_.erase(Found);
+  StatementResult Result = Message.Result;
+  Result.Via = Host;
+  Result.Pinned.reset();
+  Transactions_.erase(Message.Session);
+  if (Message.InTransaction) {
+    Transactions_[Message.Session] = Host;
+    Result.Pinned = remotePin(Message.Session);
+  }
+  Functions_.Finished(Message.Session, std::move(Result), Now);
+}
+
+void StatementRouter::onLinkLost(const HostName &Host, bool WasOpen,
+                                 TimePoint Now) {
+  Health &Known = Health_[Host];
+  Known.Lost = true;
+  Known.AwaitsAnswer = false;
+  std::vector<CallerSessionId> Resting;
+  for (const auto &[Session, At] : Transactions_)
+    if (At == Host && !Works_.contains(Session))
+      Resting.push_back(Session);
+  std::vector<Relayed> Lost;
+  for (const auto &[Session, Task] : Works_)
+    if (Task.Host == Host)
+      Lost.push_back(Task);
+  std::erase_if(Transactions_,
+                [&](const auto &Entry) { return Entry.second == Host; });
+  for (const Relayed &Task : Lost)
+    Works_.erase(Task.Work.Session);
+  Load_.erase(Host);
+  for (CallerSessionId Session : Resting)
+    Functions_.TransactionLost(Session);
+  for (Relayed &Task : Lost)
+    resolveLost(std::move(Task), WasOpen, Now);
+}
+
+/// What was not sent may run elsewhere. So may a read, and the first statement
+/// of a transaction, which the other host rolls back. For the rest nothing is
+/// certain.
+void StatementRouter::resolveLost(Relayed Lost, bool WasSent, TimePoint Now) {
+  const StatementWork &Work = Lost.Work;
+  bool MayRepeat = Work.Repeatable || (Work.Opens && !Work.EndsTransaction) ||
+                   (!WasSent && !Work.Pinned);
+  if (MayRepeat && Lost.Tries < MaximumTries && Now < Work.Deadline) {
+    route(std::move(Lost.Work), Lost.Tries + 1, Now);
+    return;
+  }
+  if (!WasSent && !Work.Pinned) {
+    refuse(Work, Now);
+    return;
+  }
+  finish(Lost, codeOfUnanswered(Work), "the connection to the host was lost",
+         Now);
+}
+
+void StatementRouter::finish(const Relayed &Ended, StatementCode Code,
+                             std::string Detail, TimePoint Now) {
+  StatementResult Result;
+  Result.Answer.Code = Code;
+  Result.Answer.Detail = std::move(Detail);
+  Result.Via = Ended.Host;
+  Functions_.Finished(Ended.Work.Session, std::move(Result), Now);
+}
+
+/// Statements that wait here for a leader that only others reach.
+void StatementRouter::handOverWaiting(TimePoint Now) {
+  for (const GroupId &Group : Runner_.waitingGroups()) {
+    std::optional<HostName> Host = hostReachingLeader(Group, Now);
+    if (!Host)
+      continue;
+    for (StatementWork &Work : Runner_.withdrawUnplaceable(Group, isOwn, Now))
+      relay(std::move(Work), *Host, 1, Now);
+  }
+}
+
+/// A connection may go silent without a reset, so an answer is asked for.
+void StatementRouter::checkLinks(TimePoint Now) {
+  std::map<HostName, Milliseconds> Needed;
+  if (!ServesDatabases_)
+    if (std::optional<HostName> Nearest = nearestMember(Now))
+      Needed[*Nearest] = IdlePingInterval;
+  for (const auto &[Host, Known] : Health_) {
+    if (dependsOn(Host))
+      Needed[Host] = BusyPingInterval;
+    else if (Known.Lost && Hosts_.isListed(Host))
+      Needed[Host] = LostPingInterval;
+  }
+  std::vector<HostName> Silent;
+  for (const auto &[Host, Interval] : Needed) {
+    Health &Known = Health_[Host];
+    if (Known.AwaitsAnswer && Now - Known.PingedAt > PingTimeout) {
+      Silent.push_back(Host);
+      continue;
+    }
+    if (Known.AwaitsAnswer ||
+        Now - std::max(Known.HeardAt, Known.PingedAt) < Interval)
+      continue;
+    Known.AwaitsAnswer = true;
+    Known.PingedAt = Now;
+    Functions_.Send(Host, RelayPing{});
+  }
+  for (const HostName &Host : Silent) {
+    Functions_.Close(Host);
+    onLinkLost(Host, true, Now);
+  }
+}
+
+void StatementRouter::tick(TimePoint Now) {
+  if (ServesDatabases_)
+    handOverWaiting(Now);
+  checkLinks(Now);
+  expireLate(Now);
+}
+
+void StatementRouter::expireLate(TimePoint Now) {
+  std::vector<Relayed> Late;
+  for (const auto &[Session, Task] : Works_)
+    if (Now >= Task.Work.Deadline + AnswerSlack)
+      Late.push_back(Task);
+  for (const Relayed &Task : Late) {
+    --Load_[Task.Host];
+    Works_.erase(Task.Work.Session);
+    Transactions_.erase(Task.Work.Session);
+    Functions_.Send(Task.Host, RelayedEnd{Task.Work.Session});
+    finish(Task, codeOfUnanswered(Task.Work), "no answer in time", Now);
+  }
+}
+
+bool StatementRouter::dependsOn(const HostName &Host) const {
+  auto Load = Load_.find(Host);
+  if (Load != Load_.end() && Load->second > 0)
+    return true;
+  return std::any_of(Transactions_.begin(), Transactions_.end(),
+                     [&](const auto &Entry) { return Entry.second == Host; });
+}
+
+} // namespace nutmegloom
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -88,7 +88,7 @@
                                                        TimePoint Now) const {
   const StatementWork &Work = Task.Work;
   Milliseconds Wait = expectedWait(Work);
-  if (placesFor(Task, Now).empty()) {
+  if (placesFor(Task.Work, Task.Avoided, Now).empty()) {
     std::optional<Milliseconds> Leader =
         Functions_.LeaderExpectedIn(Work.Group, Now);
     if (Leader)
@@ -169,20 +169,43 @@
   }
 }
 
-std::vector<Place> StatementRunner::placesFor(const Progress &Task,
-                                              TimePoint Now) const {
+std::vector<Place>
+StatementRunner::placesFor(const StatementWork &Work,
+                           const std::set<DatabaseId> &Avoided,
+                           TimePoint Now) const {
   PlacingNeeds Needs;
-  Needs.Group = Task.Work.Group;
-  Needs.Leader = Task.Work.NeedsLeader;
-  Needs.MaximumAge = Task.Work.MaximumAge;
-  Needs.OwnWrite = Task.Work.OwnWrite;
-  return Placing_.placesFor(Needs, Task.Avoided, Now);
+  Needs.Group = Work.Group;
+  Needs.Leader = Work.NeedsLeader;
+  Needs.MaximumAge = Work.MaximumAge;
+  Needs.OwnWrite = Work.OwnWrite;
+  return Placing_.placesFor(Needs, Avoided, Now);
+}
+
+bool StatementRunner::hasPlaceFor(const StatementWork &Work,
+                                  TimePoint Now) const {
+  return !placesFor(Work, {}, Now).empty();
+}
+
+std::vector<StatementWork> StatementRunner::withdrawUnplaceable(
+    const GroupId &Group, const std::function<bool(CallerSessionId)> &IsChosen,
+    TimePoint Now) {
+  std::vector<StatementWork> Withdrawn;
+  for (CallerSessionId Session : Queue_.waitingFor(Group)) {
+    auto Task = Works_.find(Session);
+    if (Task == Works_.end() || !IsChosen(Session) ||
+        hasPlaceFor(Task->second.Work, Now))
+      continue;
+    Withdrawn.push_back(std::move(Task->second.Work));
+    Works_.erase(Task);
+    Queue_.remove(Session);
+  }
+  return Withdrawn;
 }
 
 bool StatementRunner::tryStart(Progress &Task, TimePoint Now) {
   const Place *Best = nullptr;
   const Place *ToOpen = nullptr;
-  std::vector<Place> Places = placesFor(Task, Now);
+  std::vector<Place> Places = placesFor(Task.Work, Task.Avoided, Now);
   for (const Place &Candidate : Places) {
     bool Idle = Pool_.hasIdle(Candidate.Database);
     const Place *&Slot = Idle ? Best : ToOpen;
@@ -302,9 +325,8 @@
 /// The connection broke under a statement.
 void StatementRunner::onStatementLost(Progress &Task, TimePoint Now) {
   const StatementWork &Work = Task.Work;
-  bool InTransaction = Work.Pinned || Work.Opens;
   if (Task.At == Stage::Beginning ||
-      (!InTransaction && Work.Repeatable && Task.Attempts < MaximumAttempts)) {
+      (Work.Repeatable && Task.Attempts < MaximumAttempts)) {
     Task.Avoided.insert(Task.Database);
     Task.At = Stage::Waiting;
     Task.Connection = 0;
@@ -312,12 +334,8 @@
       Queue_.add(Work.Group, Work.Session, Work.Priority, Work.ReceivedAt);
     return;
   }
-  if (Work.Writes && (!InTransaction || Work.EndsTransaction)) {
-    fail(Task, StatementCode::InDoubt, "the answer was lost", Now);
-    return;
-  }
-  fail(Task, InTransaction ? StatementCode::Aborted : StatementCode::TimedOut,
-       "the connection was lost", Now);
+  fail(Task, codeOfUnanswered(Work),
+       isCommit(Work) ? "the answer was lost" : "the connection was lost", Now);
 }
 
 void StatementRunner::onAnswer(ConnectionId Connection, StatementAnswer Answer,
@@ -383,16 +401,14 @@
 void StatementRunner::onForwarded(Progress &Task, StatementAnswer Answer,
                                   TimePoint Now) {
   const StatementWork &Work = Task.Work;
-  bool InTransaction = Work.Pinned || Work.Opens;
   bool Done = Answer.Code == StatementCode::Done;
-  if (!Done && !InTransaction && hasNotRun(Answer.Code)) {
+  if (!Done && !isInTransaction(Work) && hasNotRun(Answer.Code)) {
     retryOrFinish(Task, std::move(Answer), Now);
     return;
   }
   if (Done)
     Table_.onServiceTime(Task.Database, Now - Task.SentAt);
-  bool Commits = Work.Writes && (!InTransaction || Work.EndsTransaction);
-  if (Done && Commits) {
+  if (Done && isCommit(Work)) {
     freeConnection(Task, Answer.State, Now);
     Task.Held = std::move(Answer);
     Task.At = Stage::Confirming;
@@ -592,13 +608,7 @@
   }
   Table_.onFailure(Task.Database, false, Now);
   dropLink(Task.Connection);
-  bool InTransaction = Task.Work.Pinned || Task.Work.Opens;
-  if (Task.Work.Writes && (!InTransaction || Task.Work.EndsTransaction))
-    fail(Task, StatementCode::InDoubt, "no answer in time", Now);
-  else if (InTransaction)
-    fail(Task, StatementCode::Aborted, "no answer in time", Now);
-  else
-    fail(Task, StatementCode::TimedOut, "no answer in time", Now);
+  fail(Task, codeOfUnanswered(Task.Work), "no answer in time", Now);
 }
 
 void StatementRunner::dropSilentOrphans(TimePoint Now) {
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -5,60 +5,12 @@
 #include "sessions/leaderauthority.h"
 #include "sessions/statementplacing.h"
 #include "sessions/statementqueue.h"
+#include "sessions/statementwork.h"
 
 #include <deque>
 
 namespace nutmegloom {
 
-/// One statement of a session on its way to a database and back.
-struct StatementWork {
-  CallerSessionId Session = 0;
-  GroupId Group;
-  /// The caller's statement, ready to be forwarded.
-  DatabaseCommand Command;
-  /// Values that the connection must carry.
-  SessionValues Values;
-  /// Shape that the connection must know.
-  std::optional<PreparedShape> Prepared;
-  /// Only the leader may run it.
-  bool NeedsLeader = false;
-  /// It can change data: a write, or the commit of a transaction that wrote.
-  bool Writes = false;
-  /// It may run a second time after a lost answer.
-  bool Repeatable = false;
-  /// Oldest data that it accepts, when it doesn't need the leader.
-  Milliseconds MaximumAge{0};
-  /// Position of the session's own last write.
-  std::optional<Position> OwnWrite;
-  /// Begins a transaction before the statement.
-  std::optional<CommandVerb> Opens;
-  /// Connection of the open transaction.
-  std::optional<ConnectionId> Pinned;
-  /// Ends the open transaction.
-  bool EndsTransaction = false;
-  std::uint32_t Priority = 0;
-  TimePoint ReceivedAt;
-  TimePoint Deadline;
-};
-
-/// How a statement ended.
-struct StatementResult {
-  StatementAnswer Answer;
-  DatabaseId Database;
-  /// Connection of the transaction that is open now.
-  std::optional<ConnectionId> Pinned;
-  /// The session's own last write is in no log any more.
-  bool OwnWriteLost = false;
-  /// When a later try may succeed; zero: not known.
-  Milliseconds RetryAfter{0};
-  /// Position that the database's log had to hold.
-  std::optional<Position> Floor;
-  /// Age of the confirmation of the group's leader at the end.
-  std::optional<Milliseconds> LeadershipAge;
-  /// Statements sent for it, other than those that prepare the connection.
-  std::uint32_t Attempts = 0;
-};
-
 /// Brings statements to databases: waits for a connection, places each
 /// statement, prepares connections, judges answers and repeats what has not
 /// run. It holds no state of sessions beyond the statement in progress.
@@ -79,6 +31,16 @@
 
   /// Starts a statement. The session has no other one in progress.
   void submit(StatementWork Work, TimePoint Now);
+  /// True when a database may run the statement now.
+  bool hasPlaceFor(const StatementWork &Work, TimePoint Now) const;
+  /// Groups with statements that wait.
+  std::vector<GroupId> waitingGroups() const { return Queue_.groups(); }
+  /// Takes back waiting statements of the chosen sessions for which there is no
+  /// database.
+  std::vector<StatementWork>
+  withdrawUnplaceable(const GroupId &Group,
+                      const std::function<bool(CallerSessionId)> &IsChosen,
+                      TimePoint Now);
   /// The session has gone: its statement is dropped, and its transaction is
   /// rolled back.
   void abandon(CallerSessionId Session, std::optional<ConnectionId> Pinned,
@@ -153,7 +115,9 @@
   void startOn(Progress &Task, ConnectionId Connection, const Place &Where,
                TimePoint Now);
   void forward(Progress &Task, TimePoint Now);
-  std::vector<Place> placesFor(const Progress &Task, TimePoint Now) const;
+  std::vector<Place> placesFor(const StatementWork &Work,
+                               const std::set<DatabaseId> &Avoided,
+                               TimePoint Now) const;
   /// When the statement may start, if that is known to be too late for it.
   std::optional<Milliseconds> tooLateBy(const Progress &Task,
                                         TimePoint Now) const;
--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<LogEventEntry, 31> Events{{
+constexpr std::array<LogEventEntry, 32> Events{{
     {LogEvent::HostStarted, LogLevel::Info, "host_started",
      "the host has started"},
     {LogEvent::HostReady, LogLevel::Info, "host_ready",
@@ -77,6 +77,8 @@
      "the settings were read again"},
     {LogEvent::LogLinesLeftOut, LogLevel::Warning, "log_lines_left_out",
      "lines were left out to bound the volume"},
+    {LogEvent::MembershipDecided, LogLevel::Info, "membership_decided",
+     "this host holds connections to databases, or relays statements"},
 }};
 
 constexpr std::array<std::string_view, 5> LevelNames{"trace", "debug", "info",
--- a/packages/telemetry/events.h
+++ b/packages/telemetry/events.h
@@ -49,6 +49,7 @@
   StoreCallFailed = 1607,
   SettingsReloaded = 1608,
   LogLinesLeftOut = 1609,
+  MembershipDecided = 1610,
 };
 
 struct LogEventEntry {
--- a/testing/standinsessions/sessiondatabases.cpp
+++ b/testing/standinsessions/sessiondatabases.cpp
@@ -32,7 +32,7 @@
         if (Error)
           return;
         auto Of = std::make_shared<Session>();
-        Of->Stream = LineStream::create(std::move(Socket));
+        Of->Stream = MessageStream::create(std::move(Socket));
         Members_[Id]->Streams.push_back(Of->Stream);
         Of->Stream->start(
             {[this, Id, Of](std::string_view Line) { onLine(Id, *Of, Line); },
--- a/testing/standinsessions/sessiondatabases.h
+++ b/testing/standinsessions/sessiondatabases.h
@@ -1,7 +1,7 @@
 #ifndef NUTMEGLOOM_TESTING_STANDINSESSIONS_SESSIONDATABASES_H
 #define NUTMEGLOOM_TESTING_STANDINSESSIONS_SESSIONDATABASES_H
 
-#include "protocol/linestream.h"
+#include "protocol/messagestream.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,11 +35,11 @@
   struct Member {
     explicit Member(boost::asio::io_context &Io) : Acceptor(Io) {}
     boost::asio::ip::tcp::acceptor Acceptor;
-    std::vector<std::shared_ptr<LineStream>> Streams;
+    std::vector<std::shared_ptr<MessageStream>> Streams;
     bool Up = true;
   };
   struct Session {
-    std::shared_ptr<LineStream> Stream;
+    std::shared_ptr<MessageStream> Stream;
     std::string State = "I";
     std::size_t Writes = 0;
   };
--- a/tests/fuzz/listingsfuzz.cpp
+++ b/tests/fuzz/listingsfuzz.cpp
@@ -13,6 +13,6 @@
   readConfiguration(Object);
   readLeadership(Object);
   readDuty(Object);
-  readHost(Object);
+  readSlot(Object);
   return 0;
 }
--- a/tests/platform/listingstest.cpp
+++ b/tests/platform/listingstest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(readsAConfiguration);
   CPPUNIT_TEST(refusesAConfigurationWhole);
   CPPUNIT_TEST(recordsSurviveTheWayThere);
+  CPPUNIT_TEST(writesSlotsThatItReads);
   CPPUNIT_TEST(anyContentGetsAnAnswer);
   CPPUNIT_TEST(readsSettings);
   CPPUNIT_TEST(namesTheOffendingSetting);
@@ -94,6 +95,20 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), Duty.Incarnation);
   }
 
+  void writesSlotsThatItReads() {
+    MemberSlot Slot;
+    Slot.Name = "z.1";
+    Slot.Host = "h";
+    Slot.Place = {"127.0.0.1:7", "z", "r"};
+    Slot.Stopped = true;
+    auto Read = std::get<MemberSlot>(readSlot(object(writeSlot(Slot, 6))));
+    CPPUNIT_ASSERT_EQUAL(Slot.Host, Read.Host);
+    CPPUNIT_ASSERT_EQUAL(Slot.Place.Address, Read.Place.Address);
+    CPPUNIT_ASSERT_EQUAL(Slot.Place.Region, Read.Place.Region);
+    CPPUNIT_ASSERT(Read.Stopped);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read.Revision);
+  }
+
   void anyContentGetsAnAnswer() {
     bool Holds = rc::check("any content", [](const std::string &Text) {
       for (const std::string &Content : {Text, "{\"Service\":" + Text + "}"}) {
@@ -101,7 +116,7 @@
         readConfiguration(object(Content));
         readLeadership(object(Content));
         readDuty(object(Content));
-        readHost(object(Content));
+        readSlot(object(Content));
       }
     });
     CPPUNIT_ASSERT(Holds);
@@ -113,7 +128,8 @@
        "regionsOfZones":{"z":"r"},"callerAddress":"127.0.0.1:1",
        "readinessAddress":"127.0.0.1:2","peerPort":)" +
            Port + R"(,"metricsPort":4,"storeAddress":"127.0.0.1:5",
-       "promotionAddress":"127.0.0.1:6","stopGraceSeconds":6})";
+       "promotionAddress":"127.0.0.1:6","cores":0.25,"linkMbitPerSecond":1000,
+       "stopGraceSeconds":6})";
   }
 
   void readsSettings() {
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -20,7 +20,7 @@
 public:
   TestCaller(asio::io_context &Io, const std::string &Address) : Socket_(Io) {
     Socket_.connect(*endpointOf(Address));
-    Stream_ = LineStream::create(std::move(Socket_));
+    Stream_ = MessageStream::create(std::move(Socket_));
     Stream_->start({[this](std::string_view Line) { Lines.emplace_back(Line); },
                     [this] { Closed = true; }});
   }
@@ -36,7 +36,7 @@
 
 private:
   tcp::socket Socket_;
-  std::shared_ptr<LineStream> Stream_;
+  std::shared_ptr<MessageStream> Stream_;
 };
 
 } // namespace
--- /dev/null
+++ b/tests/protocol/relaycodectest.cpp
@@ -0,0 +1,133 @@
+#include "protocol/relaycodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace nutmegloom {
+
+class RelayCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayCodecTest);
+  CPPUNIT_TEST(keepsWork);
+  CPPUNIT_TEST(keepsResults);
+  CPPUNIT_TEST(keepsSmallMessages);
+  CPPUNIT_TEST(anyBytesGetAnAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+  template <typename T> static T passed(const T &Message) {
+    auto Read = decodeRelayMessage(encodeRelayMessage(Message));
+    return std::get<T>(std::get<RelayMessage>(Read));
+  }
+
+  void keepsWork() {
+    bool Holds =
+        rc::check("work", [](const std::string &Text, const std::string &Name,
+                             const std::map<std::string, std::string> &Values,
+                             bool Writes, bool Pinned, std::uint64_t Index) {
+          RelayedWork Message;
+          Message.Number = Index;
+          Message.TimeLeft = Milliseconds{900};
+          Message.InOpenTransaction = Pinned;
+          StatementWork &Work = Message.Work;
+          Work.Session = Index;
+          Work.Group = Name;
+          Work.Command.Id = Name;
+          Work.Command.Text = Text;
+          if (!Name.empty()) {
+            Work.Command.Name = Name;
+            Work.Prepared = {StatementKind::Write, Text};
+          }
+          Work.Values = Values;
+          Work.Writes = Writes;
+          Work.NeedsLeader = !Writes;
+          Work.Repeatable = Writes;
+          Work.MaximumAge = Milliseconds{1500};
+          Work.OwnWrite = Position{3, Index};
+          Work.Opens = CommandVerb::BeginRead;
+          Work.EndsTransaction = Pinned;
+          Work.Priority = 2;
+          RelayedWork Read = passed(Message);
+          RC_ASSERT(Read.Number == Message.Number);
+          RC_ASSERT(Read.TimeLeft == Message.TimeLeft);
+          RC_ASSERT(Read.InOpenTransaction == Pinned);
+          RC_ASSERT(Read.Work.Session == Work.Session);
+          RC_ASSERT(Read.Work.Group == Work.Group);
+          RC_ASSERT(Read.Work.Command.Id == Work.Command.Id);
+          RC_ASSERT(Read.Work.Command.Text == Text);
+          RC_ASSERT(Read.Work.Command.Name == Work.Command.Name);
+          RC_ASSERT(Read.Work.Prepared.has_value() ==
+                    Work.Prepared.has_value());
+          if (Work.Prepared)
+            RC_ASSERT(Read.Work.Prepared->Shape == Work.Prepared->Shape);
+          RC_ASSERT(Read.Work.Values == Values);
+          RC_ASSERT(Read.Work.Writes == Writes);
+          RC_ASSERT(Read.Work.NeedsLeader == Work.NeedsLeader);
+          RC_ASSERT(Read.Work.Repeatable == Work.Repeatable);
+          RC_ASSERT(Read.Work.MaximumAge == Work.MaximumAge);
+          RC_ASSERT(Read.Work.OwnWrite == Work.OwnWrite);
+          RC_ASSERT(Read.Work.Opens == Work.Opens);
+          RC_ASSERT(Read.Work.EndsTransaction == Pinned);
+          RC_ASSERT(Read.Work.Priority == Work.Priority);
+        });
+    CPPUNIT_ASSERT(Holds);
+  }
+
+  void keepsResults() {
+    RelayedResult Message;
+    Message.Session = 4;
+    Message.Number = 9;
+    Message.InTransaction = true;
+    Message.Result.Answer.Code = StatementCode::InDoubt;
+    Message.Result.Answer.Rows = {"a", std::string("b\0c", 3), ""};
+    Message.Result.Answer.Signature = "s";
+    Message.Result.Answer.Detail = "why";
+    Message.Result.Answer.State = SessionState::InTransaction;
+    Message.Result.Answer.Log = Position{3, 8};
+    Message.Result.Database = "d";
+    Message.Result.OwnWriteLost = true;
+    Message.Result.RetryAfter = Milliseconds{70};
+    Message.Result.Floor = Position{2, 1};
+    Message.Result.LeadershipAge = Milliseconds{0};
+    Message.Result.Attempts = 3;
+    RelayedResult Read = passed(Message);
+    CPPUNIT_ASSERT_EQUAL(Message.Session, Read.Session);
+    CPPUNIT_ASSERT_EQUAL(Message.Number, Read.Number);
+    CPPUNIT_ASSERT(Read.InTransaction);
+    CPPUNIT_ASSERT(Read.Result.Answer.Code == StatementCode::InDoubt);
+    CPPUNIT_ASSERT(Read.Result.Answer.Rows == Message.Result.Answer.Rows);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), Read.Result.Answer.Signature);
+    CPPUNIT_ASSERT_EQUAL(std::string("why"), Read.Result.Answer.Detail);
+    CPPUNIT_ASSERT(Read.Result.Answer.State == SessionState::InTransaction);
+    CPPUNIT_ASSERT(Read.Result.Answer.Log == Message.Result.Answer.Log);
+    CPPUNIT_ASSERT_EQUAL(std::string("d"), Read.Result.Database);
+    CPPUNIT_ASSERT(Read.Result.OwnWriteLost);
+    CPPUNIT_ASSERT(Read.Result.RetryAfter == Milliseconds{70});
+    CPPUNIT_ASSERT(Read.Result.Floor == Message.Result.Floor);
+    CPPUNIT_ASSERT(Read.Result.LeadershipAge == Milliseconds{0});
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(3), Read.Result.Attempts);
+  }
+
+  void keepsSmallMessages() {
+    CPPUNIT_ASSERT_EQUAL(CallerSessionId(7), passed(RelayedEnd{7}).Session);
+    CPPUNIT_ASSERT_EQUAL(CallerSessionId(8), passed(RelayedLoss{8}).Session);
+    passed(RelayPing{});
+    RelayPong Pong = passed(RelayPong{12, true});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), Pong.ConfigurationVersion);
+    CPPUNIT_ASSERT(Pong.Leaving);
+  }
+
+  void anyBytesGetAnAnswer() {
+    std::string Whole = encodeRelayMessage(RelayedWork{});
+    bool Holds =
+        rc::check("any bytes", [&](const std::string &Text, std::size_t Cut) {
+          decodeRelayMessage(Text);
+          std::string Damaged =
+              Whole.substr(0, Cut % (Whole.size() + 1)) + Text;
+          decodeRelayMessage(Damaged);
+        });
+    CPPUNIT_ASSERT(Holds);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayCodecTest);
+
+} // namespace nutmegloom
--- a/tests/sessions/hostscheduletest.cpp
+++ b/tests/sessions/hostscheduletest.cpp
@@ -13,9 +13,11 @@
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
-  SessionEngine Engine_{
-      "h2",   7, "x", "r", [](const ZoneName &) { return Distance::SameZone; },
-      hooks()};
+  SessionEngine Engine_{"h2",
+                        7,
+                        {"x", "z", "r"},
+                        [](const ZoneName &) { return Distance::SameZone; },
+                        hooks()};
   HostSchedule Schedule_{"h2", "r", Engine_};
 
   static SessionEngine::Hooks hooks() {
--- a/tests/sessions/hosttabletest.cpp
+++ b/tests/sessions/hosttabletest.cpp
@@ -48,16 +48,20 @@
   }
 
   void waitsForEveryListedHost() {
-    Table_.applyListed({{"self", "x"}, {"peer", "y"}, {"silent", "z"}}, Now_);
+    Table_.applyListed({{"self", {"x", "", ""}},
+                        {"peer", {"y", "", ""}},
+                        {"silent", {"z", "", ""}}},
+                       Now_);
     Table_.onMessage(message(1, 1, 5), Now_);
     CPPUNIT_ASSERT(!Table_.allFollow("g", 5, Now_));
-    Table_.applyListed({{"self", "x"}, {"peer", "y"}}, Now_);
+    Table_.applyListed({{"self", {"x", "", ""}}, {"peer", {"y", "", ""}}},
+                       Now_);
     CPPUNIT_ASSERT(Table_.allFollow("g", 5, Now_));
     CPPUNIT_ASSERT(!Table_.allFollow("g", 6, Now_));
   }
 
   void forgetsWhatARestartedHostFollowed() {
-    Table_.applyListed({{"peer", "y"}}, Now_);
+    Table_.applyListed({{"peer", {"y", "", ""}}}, Now_);
     Table_.onMessage(message(1, 9, 5), Now_);
     HostObservation Restarted = message(2, 1, 5);
     Restarted.Groups.clear();
@@ -67,7 +71,7 @@
 
   // A host that was listed later than the list may go by the old record.
   void needsAListOfHostsAfterTheClaim() {
-    Table_.applyListed({{"peer", "y"}}, Now_);
+    Table_.applyListed({{"peer", {"y", "", ""}}}, Now_);
     Table_.onMessage(message(1, 1, 5), Now_);
     CPPUNIT_ASSERT(!Table_.allFollow("g", 5, Now_ + Milliseconds{1}));
   }
--- /dev/null
+++ b/tests/sessions/membershiptest.cpp
@@ -0,0 +1,183 @@
+#include "sessions/membership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegloom {
+
+/// Hosts that take slots in one store, each on its own.
+class MembershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembershipTest);
+  CPPUNIT_TEST(fewHostsAreAllMembers);
+  CPPUNIT_TEST(eachZoneHasAFewMembers);
+  CPPUNIT_TEST(hostsWithSmallMeansLeaveSlotsToOthers);
+  CPPUNIT_TEST(weakHostsServeWhereNoOthersAre);
+  CPPUNIT_TEST(aRestartedHostHasItsSlotAgain);
+  CPPUNIT_TEST(aStoppedHostKeepsItsSlotForAWhile);
+  CPPUNIT_TEST(takesItsSlotAfterALostAnswer);
+  CPPUNIT_TEST(listsUntilTheStoreAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+  TimePoint Now_{std::chrono::hours(1)};
+  std::map<std::string, MemberSlot> Store_;
+  std::uint64_t Revision_ = 5;
+  bool StoreDown_ = false;
+  bool LosesAnswers_ = false;
+  std::vector<std::unique_ptr<Membership>> Hosts_;
+  std::size_t Calls_ = 0;
+  /// What the store's answers set off, later than the calls.
+  std::vector<std::function<void()>> Answers_;
+
+  Membership &start(const HostName &Name, const ZoneName &Zone,
+                    std::size_t Zones, bool Strong = true) {
+    std::size_t At = Hosts_.size();
+    Membership::Hooks Hooks;
+    Hooks.Write = [this, At](const MemberSlot &Slot, std::uint64_t Expected) {
+      ++Calls_;
+      Answers_.push_back(
+          [this, At, Slot, Expected] { write(At, Slot, Expected); });
+    };
+    Hooks.List = [this, At] {
+      ++Calls_;
+      Answers_.push_back([this, At] { list(At); });
+    };
+    Hooks.Decided = [](bool) {};
+    ListedHost Place{Name + ":1", Zone, "region"};
+    Hosts_.push_back(
+        std::make_unique<Membership>(Name, Place, Zones, Strong, Hooks));
+    return *Hosts_.back();
+  }
+
+  void write(std::size_t At, MemberSlot Slot, std::uint64_t Expected) {
+    auto Held = Store_.find(Slot.Name);
+    std::uint64_t Present = Held == Store_.end() ? 0 : Held->second.Revision;
+    WriteOutcome Outcome = WriteOutcome::Conflict;
+    if (Present == Expected) {
+      Slot.Revision = ++Revision_;
+      Store_[Slot.Name] = Slot;
+      Outcome = WriteOutcome::Written;
+    }
+    if (LosesAnswers_)
+      Outcome = WriteOutcome::Unknown;
+    Hosts_[At]->onWritten(Outcome, Revision_, Now_);
+  }
+
+  void list(std::size_t At) {
+    if (StoreDown_) {
+      Hosts_[At]->onListFailed();
+      return;
+    }
+    std::vector<MemberSlot> Slots;
+    for (const auto &[Name, Slot] : Store_)
+      Slots.push_back(Slot);
+    Hosts_[At]->onListed(std::move(Slots), Now_);
+  }
+
+  void run(Milliseconds Span) {
+    for (TimePoint End = Now_ + Span; Now_ < End; Now_ += Milliseconds{50}) {
+      for (auto &Host : Hosts_)
+        Host->tick(Now_);
+      for (const auto &Answer : std::exchange(Answers_, {}))
+        Answer();
+    }
+  }
+
+  std::size_t members() const {
+    return static_cast<std::size_t>(
+        std::count_if(Hosts_.begin(), Hosts_.end(),
+                      [](const auto &Host) { return Host->isMember(); }));
+  }
+
+  void fewHostsAreAllMembers() {
+    for (const char *Zone : {"x", "y", "z"})
+      for (int Count = 0; Count < 3; ++Count)
+        start(Zone + std::to_string(Count), Zone, 3);
+    run(Milliseconds{1000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(9), members());
+  }
+
+  void eachZoneHasAFewMembers() {
+    for (const char *Zone : {"u", "v", "w", "x", "y", "z"})
+      for (int Count = 0; Count < 14; ++Count)
+        start(Zone + std::to_string(Count), Zone, 6);
+    run(Milliseconds{2000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(12), members());
+    for (const auto &Host : Hosts_)
+      CPPUNIT_ASSERT(Host->isDecided());
+  }
+
+  void hostsWithSmallMeansLeaveSlotsToOthers() {
+    for (int Count = 0; Count < 12; ++Count)
+      start("weak" + std::to_string(Count), "z", 6, false);
+    Membership &First = start("strong0", "z", 6);
+    Membership &Second = start("strong1", "z", 6);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(First.isMember() && Second.isMember());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), members());
+    // One list at the start, and one after the wait for those with small means.
+    CPPUNIT_ASSERT(Calls_ < 14 * 2 + 6);
+  }
+
+  void weakHostsServeWhereNoOthersAre() {
+    for (int Count = 0; Count < 12; ++Count)
+      start("weak" + std::to_string(Count), "z", 6, false);
+    run(Milliseconds{2500});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), members());
+  }
+
+  void aRestartedHostHasItsSlotAgain() {
+    start("a", "z", 6);
+    start("b", "z", 6);
+    run(Milliseconds{500});
+    Hosts_.clear();
+    start("c", "z", 6);
+    Membership &Back = start("a", "z", 6);
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT(Back.isMember());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), members());
+  }
+
+  // A host that is stopped for an update comes back; one that is removed does
+  // not, and its slot must not stay lost.
+  void aStoppedHostKeepsItsSlotForAWhile() {
+    Membership &First = start("a", "z", 6);
+    start("b", "z", 6);
+    Membership &Other = start("c", "z", 6);
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), members());
+    bool WasMember = First.isMember();
+    (WasMember ? First : *Hosts_[1]).stop();
+    for (const auto &Answer : std::exchange(Answers_, {}))
+      Answer();
+    run(Milliseconds{9000});
+    CPPUNIT_ASSERT(!Other.isMember() || members() == 1);
+    run(Milliseconds{22000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), members());
+  }
+
+  void takesItsSlotAfterALostAnswer() {
+    Membership &Host = start("a", "z", 6);
+    LosesAnswers_ = true;
+    run(Milliseconds{150});
+    LosesAnswers_ = false;
+    run(Milliseconds{1500});
+    CPPUNIT_ASSERT(Host.isMember());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store_.size());
+  }
+
+  void listsUntilTheStoreAnswers() {
+    StoreDown_ = true;
+    Membership &Host = start("a", "z", 6);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(!Host.isMember() && !Host.isDecided());
+    StoreDown_ = false;
+    run(Milliseconds{1000});
+    CPPUNIT_ASSERT(Host.isMember());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
+
+} // namespace nutmegloom
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -44,7 +44,9 @@
     Hooks.WriteDuty = [this](const PromotionDuty &Duty, std::uint64_t) {
       Duties_.push_back(Duty);
     };
-    Hooks.ListHosts = [this] { Hosts_.applyListed({{"self", "x"}}, Now_); };
+    Hooks.ListHosts = [this] {
+      Hosts_.applyListed({{"self", {"x", "", ""}}}, Now_);
+    };
     Hooks.Promote = [this](const GroupId &, const DatabaseId &Id,
                            std::uint64_t Token) {
       Promoted_.emplace_back(Id, Token);
@@ -145,7 +147,8 @@
   // Waiting for a pause that a primary never reports kept the group without a
   // leader.
   void adoptsAPrimaryThatStartedUnderAnotherId() {
-    Hosts_.applyListed({{"self", "x"}, {"gone", "y"}}, Now_);
+    Hosts_.applyListed({{"self", {"x", "", ""}}, {"gone", {"y", "", ""}}},
+                       Now_);
     list({"a2", "b", "c"});
     lead("a", 3);
     report("a2", DatabaseRole::Primary, 3, 12);
@@ -267,7 +270,8 @@
     Authority_.confirm(Claim, Now_);
     System_.tick(Now_);
     CPPUNIT_ASSERT(*System_.leaderExpectedIn("g", Now_) < Milliseconds{1000});
-    Hosts_.applyListed({{"self", "x"}, {"gone", "y"}}, Now_);
+    Hosts_.applyListed({{"self", {"x", "", ""}}, {"gone", {"y", "", ""}}},
+                       Now_);
     CPPUNIT_ASSERT(*System_.leaderExpectedIn("g", Now_) > Milliseconds{1500});
     // Overdue: nobody knows when, so nothing is held.
     TimePoint Late = Now_ + Milliseconds{4000};
--- a/tests/sessions/randomfaultstest.cpp
+++ b/tests/sessions/randomfaultstest.cpp
@@ -12,12 +12,16 @@
 class RandomFaultsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RandomFaultsTest);
   CPPUNIT_TEST(keepsAllPromises);
+  CPPUNIT_TEST(keepsAllPromisesOfRelayedStatements);
   CPPUNIT_TEST(servesAgainOnceFaultsEnd);
+  CPPUNIT_TEST(servesRelayedStatementsAgainOnceFaultsEnd);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t FirstSeed = 1;
   static constexpr std::uint32_t LastSeed = 80;
   static constexpr std::size_t HostCount = 4;
+  /// Hosts that hold connections where statements are relayed.
+  static constexpr std::size_t FewMembers = 2;
   /// Seeds that failed once and lie beyond the others. 186: a member restarted
   /// between its pause and the promotion, and forgot the pause.
   static constexpr std::array<std::uint32_t, 1> FailedSeeds{186};
@@ -140,8 +144,9 @@
       std::cerr << Line << "\n";
   }
 
-  static std::unique_ptr<Simulation> played(std::uint32_t Seed) {
-    auto Sim = std::make_unique<Simulation>(Seed, HostCount);
+  static std::unique_ptr<Simulation> played(std::uint32_t Seed,
+                                            std::size_t Members) {
+    auto Sim = std::make_unique<Simulation>(Seed, HostCount, Members);
     Random From(std::uint64_t{Seed} * 7919);
     Sim->run(Milliseconds{1500});
     Sim->startCallers(3, Milliseconds{26000});
@@ -153,14 +158,14 @@
     return Sim;
   }
 
-  void keepsAllPromises() {
+  static void checkPromises(std::size_t Members) {
     std::size_t Promotions = 0;
     std::size_t Writes = 0;
     std::vector<std::uint32_t> Seeds(FailedSeeds.begin(), FailedSeeds.end());
     for (std::uint32_t Seed = FirstSeed; Seed <= LastSeed; ++Seed)
       Seeds.push_back(Seed);
     for (std::uint32_t Seed : Seeds) {
-      auto Sim = played(Seed);
+      auto Sim = played(Seed, Members);
       std::vector<std::string> Broken = Sim->violations();
       if (!Broken.empty())
         print(Sim->trace());
@@ -175,9 +180,9 @@
     CPPUNIT_ASSERT(Writes > std::size_t{LastSeed} * 1000);
   }
 
-  void servesAgainOnceFaultsEnd() {
+  static void checkServiceAfterFaults(std::size_t Members) {
     for (std::uint32_t Seed = FirstSeed; Seed <= FirstSeed + 11; ++Seed) {
-      auto Sim = played(Seed);
+      auto Sim = played(Seed, Members);
       for (std::size_t Host = 0; Host < HostCount; ++Host) {
         CallerSessionId Id = Sim->open(Host, "primary");
         StatementAnswer Answer = Sim->ask(Host, Id, StatementVerb::Write);
@@ -189,6 +194,13 @@
       }
     }
   }
+
+  void keepsAllPromises() { checkPromises(HostCount); }
+  void keepsAllPromisesOfRelayedStatements() { checkPromises(FewMembers); }
+  void servesAgainOnceFaultsEnd() { checkServiceAfterFaults(HostCount); }
+  void servesRelayedStatementsAgainOnceFaultsEnd() {
+    checkServiceAfterFaults(FewMembers);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RandomFaultsTest);
--- /dev/null
+++ b/tests/sessions/relayservicetest.cpp
@@ -0,0 +1,212 @@
+#include "tests/sessions/simulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+/// What callers get at hosts that ask other hosts to run their statements.
+class RelayServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayServiceTest);
+  CPPUNIT_TEST(servesAHostWithoutConnections);
+  CPPUNIT_TEST(readsItsOwnWriteThroughAnyMember);
+  CPPUNIT_TEST(keepsATransactionAtItsMember);
+  CPPUNIT_TEST(runsRelayedStatementsWithTheirValues);
+  CPPUNIT_TEST(rollsBackWhenTheCallerLeaves);
+  CPPUNIT_TEST(abortsATransactionWhoseMemberEnds);
+  CPPUNIT_TEST(readsThroughAnotherMemberWhenOneIsSilent);
+  CPPUNIT_TEST(reportsAWriteAtASilentMemberAsInDoubt);
+  CPPUNIT_TEST(rollsBackForAHostThatIsGone);
+  CPPUNIT_TEST(writesThroughAHostThatReachesThePrimary);
+  CPPUNIT_TEST(refusesAtOnceWithoutAMember);
+  CPPUNIT_TEST(avoidsAMemberThatStops);
+  CPPUNIT_TEST_SUITE_END();
+
+  using Code = StatementCode;
+  using Verb = StatementVerb;
+
+  static constexpr std::size_t Entry = 2;
+
+  /// Two members and a host that holds no connections.
+  static std::unique_ptr<Simulation> started() {
+    auto Made = std::make_unique<Simulation>(1, 3, 2);
+    Made->run(Milliseconds{2500});
+    return Made;
+  }
+
+  static std::size_t memberWithSession(Simulation &Sim) {
+    return Sim.engine(0).relayed().size() > 0 ? 0 : 1;
+  }
+
+  void servesAHostWithoutConnections() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Read).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                         Sim->engine(Entry).runner().connections());
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  void readsItsOwnWriteThroughAnyMember() {
+    auto Sim = started();
+    Sim->setReplicationLag("b", Milliseconds{800});
+    Sim->setReplicationLag("c", Milliseconds{800});
+    CallerSessionId Id = Sim->open(Entry, "own");
+    for (int Round = 0; Round < 20; ++Round) {
+      CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+      CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Read).Code == Code::Done);
+    }
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  void keepsATransactionAtItsMember() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Begin).Code == Code::Done);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    std::size_t Member = memberWithSession(*Sim);
+    for (int Round = 0; Round < 3; ++Round)
+      CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Read).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->engine(Member).relayed().size());
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Commit).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->engine(Member).relayed().size());
+    for (const auto &Run : Sim->executions())
+      CPPUNIT_ASSERT(Run.InTransaction);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->acknowledgedWrites());
+  }
+
+  void runsRelayedStatementsWithTheirValues() {
+    auto Sim = started();
+    CallerSessionId With = Sim->open(Entry, "primary");
+    CallerSessionId Without = Sim->open(Entry, "primary");
+    CPPUNIT_ASSERT(Sim->ask(Entry, With, Verb::SetValue, "v").Code ==
+                   Code::Done);
+    for (int Round = 0; Round < 4; ++Round) {
+      Sim->ask(Entry, With, Verb::Read, "with");
+      Sim->ask(Entry, Without, Verb::Read, "without");
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), Sim->executions().size());
+    for (const auto &Run : Sim->executions())
+      CPPUNIT_ASSERT_EQUAL(Run.Text == "READ with" ? std::size_t(1)
+                                                   : std::size_t(0),
+                           Run.Values.size());
+  }
+
+  void rollsBackWhenTheCallerLeaves() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    Sim->ask(Entry, Id, Verb::Begin);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    std::size_t Member = memberWithSession(*Sim);
+    Sim->engine(Entry).sessions().close(Id, Sim->now());
+    Sim->run(Milliseconds{100});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->engine(Member).relayed().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->acknowledgedWrites());
+    CallerSessionId Next = Sim->open(Entry, "primary");
+    CPPUNIT_ASSERT(Sim->ask(Entry, Next, Verb::Write).Code == Code::Done);
+  }
+
+  void abortsATransactionWhoseMemberEnds() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    Sim->ask(Entry, Id, Verb::Begin);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    Sim->restartHost(memberWithSession(*Sim));
+    Sim->run(Milliseconds{50});
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Commit).Code == Code::Aborted);
+    CallerSessionId Next = Sim->open(Entry, "primary");
+    CPPUNIT_ASSERT(Sim->ask(Entry, Next, Verb::Write).Code == Code::Done);
+  }
+
+  // Connections may fall silent without a reset, and machines may stand still.
+  void readsThroughAnotherMemberWhenOneIsSilent() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "bounded");
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Read).Code == Code::Done);
+    for (std::size_t Member : {0, 1}) {
+      Sim->cutHosts(Entry, Member, true);
+      Sim->run(Milliseconds{2500});
+      CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Read).Code == Code::Done);
+      Sim->cutHosts(Entry, Member, false);
+      Sim->run(Milliseconds{5000});
+    }
+  }
+
+  void reportsAWriteAtASilentMemberAsInDoubt() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    Sim->ask(Entry, Id, Verb::Write);
+    Sim->pauseHost(0, Milliseconds{4000});
+    Sim->pauseHost(1, Milliseconds{4000});
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::InDoubt);
+    Sim->run(Milliseconds{6000});
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  // A member must not keep a connection for a host that will not come back.
+  void rollsBackForAHostThatIsGone() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    Sim->ask(Entry, Id, Verb::Begin);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    std::size_t Member = memberWithSession(*Sim);
+    Sim->cutHosts(Entry, 0, true);
+    Sim->cutHosts(Entry, 1, true);
+    Sim->run(Milliseconds{4000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->engine(Member).relayed().size());
+  }
+
+  // A host that is cut off from the primary alone refused its callers.
+  void writesThroughAHostThatReachesThePrimary() {
+    Simulation Sim(1);
+    Sim.run(Milliseconds{2500});
+    CallerSessionId Id = Sim.open(0, "primary");
+    CPPUNIT_ASSERT(Sim.ask(0, Id, Verb::Write).Code == Code::Done);
+    Sim.startCallers(1, Milliseconds{6000});
+    Sim.cutHostFromDatabase(0, Sim.leader(), true);
+    Sim.run(Milliseconds{1500});
+    std::size_t Done = 0;
+    for (int Round = 0; Round < 20; ++Round) {
+      // Others go on, so that the leader is known to answer them.
+      for (std::size_t Host : {1, 2})
+        Sim.ask(Host, Sim.open(Host, "primary"), Verb::Write);
+      Done += Sim.ask(0, Id, Verb::Write).Code == Code::Done ? 1 : 0;
+      Sim.run(Milliseconds{100});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim.promotions());
+    CPPUNIT_ASSERT(Done >= 18);
+    CPPUNIT_ASSERT(Sim.violations().empty());
+  }
+
+  void refusesAtOnceWithoutAMember() {
+    auto Sim = started();
+    Sim->cutHosts(Entry, 0, true);
+    Sim->cutHosts(Entry, 1, true);
+    Sim->run(Milliseconds{4000});
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    TimePoint Before = Sim->now();
+    StatementAnswer Answer = Sim->ask(Entry, Id, Verb::Write);
+    CPPUNIT_ASSERT(Answer.Code == Code::Busy);
+    CPPUNIT_ASSERT(Answer.Detail.find("retry after") != std::string::npos);
+    CPPUNIT_ASSERT(Sim->now() - Before <= Milliseconds{10});
+  }
+
+  void avoidsAMemberThatStops() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    for (std::size_t Member : {0, 1})
+      Sim->engine(Member).relayed().onReceived(Entry + 100, RelayPing{},
+                                               Sim->now());
+    Sim->engine(0).relayed().beginDrain();
+    Sim->run(Milliseconds{50});
+    Sim->ask(Entry, Id, Verb::Begin);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->engine(0).relayed().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->engine(1).relayed().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayServiceTest);
+
+} // namespace nutmegloom
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -74,7 +74,9 @@
   TimePoint GossipAt;
 };
 
-Simulation::Simulation(std::uint32_t Seed, std::size_t Hosts) : Random_(Seed) {
+Simulation::Simulation(std::uint32_t Seed, std::size_t Hosts,
+                       std::size_t Members)
+    : Random_(Seed), Members_(Members) {
   for (const char *Id : {"a", "b", "c"}) {
     auto Made = std::make_unique<Database>();
     Made->Listing.Id = Id;
@@ -166,6 +168,24 @@
   Hooks.Send = [this, Index](ConnectionId Id, const DatabaseCommand &Command) {
     sendCommand(Index, Id, Command);
   };
+  Hooks.AskHost = [this, Index](const HostName &Host,
+                                const RelayMessage &Message) {
+    relayTo(Index, Host, Message);
+  };
+  Hooks.CloseRelay = [this, Index](const HostName &Host) {
+    std::size_t To = indexOf(Host);
+    RelayLinkId Link = linkOf(Index, Hosts_[Index]->Life);
+    if (!HostCuts_.contains(std::minmax(To, Index)))
+      atHost(To, HostLatency, [this, To, Link] {
+        Hosts_[To]->Engine->relayed().onLinkClosed(Link, Now_);
+      });
+  };
+  Hooks.Relayed.Send = [this, Index](RelayLinkId Link,
+                                     const RelayMessage &Message) {
+    answerRelay(Index, Link, Message);
+  };
+  Hooks.Relayed.Close = [](RelayLinkId) {};
+  Hooks.Relayed.ConfigurationVersion = [] { return std::uint64_t{1}; };
   Hooks.LeadershipChanged = [this, Index](const LeadershipRecord &) {
     atHost(Index, Milliseconds{0}, [this, Index] { gossip(Index); });
   };
@@ -255,8 +275,57 @@
   return Hooks;
 }
 
+std::size_t Simulation::indexOf(const HostName &Name) const {
+  std::size_t Index = 0;
+  while (Hosts_[Index]->Name != Name)
+    ++Index;
+  return Index;
+}
+
+void Simulation::relayTo(std::size_t From, const HostName &Name,
+                         const RelayMessage &Message) {
+  std::size_t To = indexOf(Name);
+  if (HostCuts_.contains(std::minmax(To, From)))
+    return;
+  RelayLinkId Link = linkOf(From, Hosts_[From]->Life);
+  // Two hosts that talk both ways use two connections; the number of the
+  // process keeps its messages apart from those of its successor.
+  atHost(To, HostLatency, [this, To, Link, Message] {
+    Hosts_[To]->Engine->relayed().onReceived(Link, Message, Now_);
+  });
+}
+
+void Simulation::answerRelay(std::size_t From, RelayLinkId Link,
+                             const RelayMessage &Message) {
+  std::size_t To = Link % 100;
+  std::uint64_t Life = Link / 100;
+  if (HostCuts_.contains(std::minmax(To, From)) || Hosts_[To]->Life != Life)
+    return;
+  HostName Name = Hosts_[From]->Name;
+  atHost(To, HostLatency, [this, To, Name, Message] {
+    Hosts_[To]->Engine->router().onReceived(Name, Message, Now_);
+  });
+}
+
+/// The connections of a process end with it.
+void Simulation::loseRelays(std::size_t Index) {
+  RelayLinkId Link = linkOf(Index, Hosts_[Index]->Life);
+  HostName Name = Hosts_[Index]->Name;
+  for (std::size_t To = 0; To < Hosts_.size(); ++To) {
+    if (To == Index || !Hosts_[To] || !Hosts_[To]->Engine ||
+        HostCuts_.contains(std::minmax(To, Index)))
+      continue;
+    atHost(To, HostLatency, [this, To, Link, Name] {
+      Hosts_[To]->Engine->relayed().onLinkClosed(Link, Now_);
+      Hosts_[To]->Engine->router().onLinkLost(Name, true, Now_);
+    });
+  }
+}
+
 void Simulation::startHost(std::size_t Index) {
   Host &At = *Hosts_[Index];
+  if (At.Life > 0)
+    loseRelays(Index);
   for (auto &[Id, Used] : At.Links)
     Used->Open = false;
   At.Links.clear();
@@ -265,7 +334,7 @@
   At.Registered = false;
   At.Reading = false;
   At.Engine = std::make_unique<SessionEngine>(
-      At.Name, At.Life * 1000 + Index, At.Name, "region",
+      At.Name, At.Life * 1000 + Index, ListedHost{At.Name, "zone", "region"},
       [](const ZoneName &) { return Distance::SameZone; }, hooksOf(Index));
   SessionConfiguration Configuration;
   Configuration.Version = 1;
@@ -283,7 +352,9 @@
   AddRoute("bounded", ConsistencyMode::BoundedStaleness, BoundedAge);
   AddRoute("own", ConsistencyMode::ReadYourWrites, ReadYourWritesAge);
   At.Engine->applyConfiguration(Configuration, Now_);
-  At.Engine->applyDatabases(listings(), ListRevision_, Now_);
+  At.Engine->setMember(isMember(Index), Now_);
+  if (isMember(Index))
+    At.Engine->applyDatabases(listings(), ListRevision_, Now_);
   std::uint64_t Life = At.Life;
   atHost(Index, Milliseconds{1 + static_cast<int>(Index)},
          [this, Index, Life] { tickHost(Index, Life); });
@@ -350,19 +421,28 @@
     storeCall(
         Index, true,
         [this, Index]() -> std::function<void()> {
-          Registered_[Hosts_[Index]->Name] = Hosts_[Index]->Name;
+          const HostName &Name = Hosts_[Index]->Name;
+          if (isMember(Index))
+            Registered_[Name] = {Name, "zone", "region"};
           return [this, Index] {
             Hosts_[Index]->Engine->applyHosts(Registered_, Now_);
-            readRecords(Index);
+            if (isMember(Index))
+              readRecords(Index);
           };
         },
         [this, Index] { Hosts_[Index]->Registered = false; });
+  } else if (!isMember(Index)) {
+    if (At.Engine->hosts().peers().empty() &&
+        Now_ - At.ReadAt > Milliseconds{300}) {
+      At.ReadAt = Now_;
+      At.Registered = false;
+    }
   } else if (!At.Reading && Now_ - At.ReadAt > Milliseconds{300} &&
              !At.Engine->hosts().peers().empty()) {
     readRecords(Index);
   }
   At.Engine->tick(Now_);
-  if (Now_ - At.GossipAt > Milliseconds{200})
+  if (isMember(Index) && Now_ - At.GossipAt > Milliseconds{200})
     gossip(Index);
   atHost(Index, Milliseconds{50},
          [this, Index, Life] { tickHost(Index, Life); });
@@ -486,7 +566,7 @@
   case CommandVerb::Forward: {
     auto Waiting =
         std::find_if(Pending_.begin(), Pending_.end(), [&](const auto &Entry) {
-          return std::to_string(Entry.first) == Command.Id;
+          return Entry.second.StatementId == Command.Id;
         });
     bool InTransaction = On.State == SessionState::InTransaction;
     Executions_.push_back(
@@ -691,7 +771,7 @@
 void Simulation::send(std::size_t Index, CallerSessionId Session,
                       StatementVerb Verb, const std::string &Text) {
   CallerStatement Statement;
-  Statement.Id = std::to_string(Session);
+  Statement.Id = std::to_string(++LastStatement_);
   Statement.Verb = Verb;
   switch (Verb) {
   case StatementVerb::Read:
@@ -712,6 +792,7 @@
   }
   Answers_.erase(Session);
   Pending Asked;
+  Asked.StatementId = Statement.Id;
   Asked.SentAt = Now_;
   Asked.Verb = Verb;
   Asked.Text = Text;
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -15,7 +15,9 @@
 /// callers were told is checked against what the databases did.
 class Simulation {
 public:
-  explicit Simulation(std::uint32_t Seed, std::size_t Hosts = 3);
+  /// Members: hosts that hold connections to databases; the first ones.
+  explicit Simulation(std::uint32_t Seed, std::size_t Hosts = 3,
+                      std::size_t Members = SIZE_MAX);
   ~Simulation();
 
   TimePoint now() const { return Now_; }
@@ -94,6 +96,7 @@
     std::uint64_t Greatest = 0;
   };
   struct Pending {
+    std::string StatementId;
     TimePoint SentAt;
     StatementVerb Verb = StatementVerb::Read;
     std::string Text;
@@ -111,6 +114,18 @@
   SessionEngine::Hooks hooksOf(std::size_t Index);
   void tickHost(std::size_t Index, std::uint64_t Life);
   void gossip(std::size_t Index);
+  bool isMember(std::size_t Index) const { return Index < Members_; }
+  /// Sends a message of a relay connection, which is lost with a cut or an end
+  /// of either process.
+  void relayTo(std::size_t From, const HostName &Host,
+               const RelayMessage &Message);
+  void answerRelay(std::size_t From, RelayLinkId Link,
+                   const RelayMessage &Message);
+  void loseRelays(std::size_t Index);
+  std::size_t indexOf(const HostName &Name) const;
+  static RelayLinkId linkOf(std::size_t From, std::uint64_t Life) {
+    return Life * 100 + From;
+  }
   void readRecords(std::size_t Index);
   /// Runs the call at the host, once it is not paused, if it still lives.
   void atHost(std::size_t Index, Milliseconds Delay,
@@ -157,7 +172,8 @@
   std::uint64_t ListRevision_ = 1;
   std::uint64_t HighestToken_ = 0;
   std::map<std::uint64_t, HostName> TokenHolders_;
-  std::map<HostName, std::string> Registered_;
+  std::map<HostName, ListedHost> Registered_;
+  std::size_t Members_;
   bool StoreDown_ = false;
   Milliseconds StoreDelay_{4};
   double LostWrites_ = 0;
@@ -168,6 +184,7 @@
   std::set<std::pair<DatabaseId, DatabaseId>> ReplicationCuts_;
 
   CallerSessionId LastSession_ = 0;
+  std::uint64_t LastStatement_ = 0;
   std::map<CallerSessionId, Pending> Pending_;
   std::map<CallerSessionId, StatementAnswer> Answers_;
   std::map<CallerSessionId, std::string> Routes_;
