End the transaction of a commit that a busy database refuses

Cause: a database that refuses a commit as busy leaves the transaction open on its connection. Ruled out: a late answer of an earlier statement (results carry the number of their statement). Change: the connection of a commit is always given back, after a rollback if a transaction is open; a member rolls back a transaction that the other host no longer knows; a statement of an open transaction that a busy database has not run is sent again until its time is up. Tests: endsATransactionWhoseCommitIsRefused and repeatsARefusedStatementOfATransaction failed before.

--- a/packages/sessions/relayedsessions.cpp
+++ b/packages/sessions/relayedsessions.cpp
@@ -42,6 +42,11 @@
     onFinished(Session, std::move(Result));
     return;
   }
+  // The other host has ended the transaction that this one knows of.
+  if (!Message.InOpenTransaction && Held.Pinned) {
+    Runner_.rollBack(*Held.Pinned, Now);
+    Held.Pinned.reset();
+  }
   StatementWork Work = Message.Work;
   Work.Session = Session;
   Work.Pinned = Held.Pinned;
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -334,6 +334,10 @@
       Queue_.add(Work.Group, Work.Session, Work.Priority, Work.ReceivedAt);
     return;
   }
+  if (Task.At == Stage::Repeating) {
+    fail(Task, StatementCode::Aborted, "the connection was lost", Now);
+    return;
+  }
   fail(Task, codeOfUnanswered(Work),
        isCommit(Work) ? "the answer was lost" : "the connection was lost", Now);
 }
@@ -406,6 +410,10 @@
     retryOrFinish(Task, std::move(Answer), Now);
     return;
   }
+  if (mayRepeat(Task, Answer, Now)) {
+    Task.At = Stage::Repeating;
+    return;
+  }
   if (Done)
     Table_.onServiceTime(Task.Database, Now - Task.SentAt);
   if (Done && isCommit(Work)) {
@@ -418,7 +426,7 @@
   StatementResult Result;
   Result.Database = Task.Database;
   Result.Attempts = Task.Attempts;
-  if (Answer.State == SessionState::InTransaction)
+  if (Answer.State == SessionState::InTransaction && !Work.EndsTransaction)
     Result.Pinned = std::exchange(Task.Connection, 0);
   else
     freeConnection(Task, Answer.State, Now);
@@ -426,6 +434,16 @@
   finish(Work.Session, std::move(Result), Now);
 }
 
+/// A database that was busy has run nothing, and the transaction is still open.
+bool StatementRunner::mayRepeat(const Progress &Task,
+                                const StatementAnswer &Answer,
+                                TimePoint Now) const {
+  return Answer.Code == StatementCode::Busy &&
+         Answer.State == SessionState::InTransaction &&
+         isInTransaction(Task.Work) && Task.Attempts < MaximumAttempts &&
+         Now < Task.Work.Deadline;
+}
+
 bool StatementRunner::isAcknowledgeable(const Progress &Task,
                                         TimePoint Now) const {
   const LeadershipRecord *Record = Authority_.recordOf(Task.Work.Group);
@@ -606,6 +624,11 @@
     fail(Task, StatementCode::Busy, "no connection in time", Now);
     return;
   }
+  if (Task.At == Stage::Repeating) {
+    rollBack(Task.Connection, Now);
+    fail(Task, StatementCode::Busy, "the database was busy, not run", Now);
+    return;
+  }
   Table_.onFailure(Task.Database, false, Now);
   dropLink(Task.Connection);
   fail(Task, codeOfUnanswered(Task.Work), "no answer in time", Now);
@@ -637,31 +660,50 @@
   return Oldest;
 }
 
-void StatementRunner::tick(TimePoint Now) {
-  std::vector<CallerSessionId> Late;
+void StatementRunner::refuseHopeless(TimePoint Now) {
   std::vector<std::pair<CallerSessionId, Milliseconds>> Hopeless;
   for (const auto &[Session, Task] : Works_) {
-    if (Now >= Task.Work.Deadline)
-      Late.push_back(Session);
-    else if (Task.At == Stage::Waiting)
-      if (std::optional<Milliseconds> Start = tooLateBy(Task, Now))
-        Hopeless.emplace_back(Session, *Start);
+    if (Task.At != Stage::Waiting || Now >= Task.Work.Deadline)
+      continue;
+    if (std::optional<Milliseconds> Start = tooLateBy(Task, Now))
+      Hopeless.emplace_back(Session, *Start);
   }
   for (const auto &[Session, Start] : Hopeless)
     if (auto Task = Works_.find(Session); Task != Works_.end())
       refuse(Task->second, Start, Now);
-  std::vector<CallerSessionId> Unconfirmed;
+}
+
+void StatementRunner::resume(Stage At, TimePoint Now) {
+  std::vector<CallerSessionId> Due;
   for (const auto &[Session, Task] : Works_)
-    if (Task.At == Stage::Confirming)
-      Unconfirmed.push_back(Session);
-  for (CallerSessionId Session : Unconfirmed)
-    if (auto Task = Works_.find(Session); Task != Works_.end())
-      confirmCommit(Task->second, Now);
-  for (CallerSessionId Session : Late) {
+    if (Task.At == At && Now < Task.Work.Deadline)
+      Due.push_back(Session);
+  for (CallerSessionId Session : Due) {
     auto Task = Works_.find(Session);
-    if (Task != Works_.end())
-      expire(Task->second, Now);
+    if (Task == Works_.end())
+      continue;
+    if (At == Stage::Confirming)
+      confirmCommit(Task->second, Now);
+    else
+      forward(Task->second, Now);
   }
+}
+
+void StatementRunner::expireLate(TimePoint Now) {
+  std::vector<CallerSessionId> Late;
+  for (const auto &[Session, Task] : Works_)
+    if (Now >= Task.Work.Deadline)
+      Late.push_back(Session);
+  for (CallerSessionId Session : Late)
+    if (auto Task = Works_.find(Session); Task != Works_.end())
+      expire(Task->second, Now);
+}
+
+void StatementRunner::tick(TimePoint Now) {
+  refuseHopeless(Now);
+  resume(Stage::Confirming, Now);
+  resume(Stage::Repeating, Now);
+  expireLate(Now);
   dropSilentOrphans(Now);
   Pool_.tick(Now);
   for (const GroupId &Group : Queue_.groups())
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -75,8 +75,10 @@
   std::size_t inProgress() const { return Works_.size(); }
 
 private:
-  /// Confirming: a commit was answered, and its leader must be confirmed.
-  enum class Stage { Waiting, Beginning, Running, Confirming };
+  /// Repeating: a busy database has not run a statement of an open transaction,
+  /// and it is sent again. Confirming: a commit was answered, and its leader
+  /// must be confirmed.
+  enum class Stage { Waiting, Beginning, Running, Repeating, Confirming };
   struct Progress {
     StatementWork Work;
     Stage At = Stage::Waiting;
@@ -126,6 +128,12 @@
 
   void onBegun(Progress &Task, const StatementAnswer &Answer, TimePoint Now);
   void onForwarded(Progress &Task, StatementAnswer Answer, TimePoint Now);
+  bool mayRepeat(const Progress &Task, const StatementAnswer &Answer,
+                 TimePoint Now) const;
+  void expireLate(TimePoint Now);
+  void refuseHopeless(TimePoint Now);
+  /// Moves on the statements of a stage that wait for time to pass.
+  void resume(Stage At, TimePoint Now);
   bool isAcknowledgeable(const Progress &Task, TimePoint Now) const;
   /// Passes on a commit's answer if its leader is confirmed by now.
   void confirmCommit(Progress &Task, TimePoint Now);
--- a/tests/sessions/relayservicetest.cpp
+++ b/tests/sessions/relayservicetest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(writesThroughAHostThatReachesThePrimary);
   CPPUNIT_TEST(refusesAtOnceWithoutAMember);
   CPPUNIT_TEST(avoidsAMemberThatStops);
+  CPPUNIT_TEST(endsATransactionWhoseCommitIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -205,6 +206,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->engine(0).relayed().size());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->engine(1).relayed().size());
   }
+
+  // The caller's next statement ran inside the transaction whose commit a
+  // database had refused as busy.
+  void endsATransactionWhoseCommitIsRefused() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(Entry, "primary");
+    Sim->ask(Entry, Id, Verb::Begin);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    Sim->refuseNext("a", 20);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Commit).Code == Code::Busy);
+    Sim->refuseNext("a", 0);
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    CPPUNIT_ASSERT(!Sim->executions().back().InTransaction);
+    for (std::size_t Member : {0, 1})
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                           Sim->engine(Member).relayed().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayServiceTest);
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(promotesAlthoughAHostIsPaused);
   CPPUNIT_TEST(forgetsAnOwnWriteThatAPromotionRolledBack);
   CPPUNIT_TEST(leavesOthersAloneWhenACallerGoesDuringItsCommit);
+  CPPUNIT_TEST(givesBackTheConnectionOfARefusedCommit);
+  CPPUNIT_TEST(repeatsARefusedStatementOfATransaction);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -318,6 +320,37 @@
     }
     CPPUNIT_ASSERT(Confirming > 0);
   }
+
+  // A database that refused a commit as busy left its connection in the open
+  // transaction, and nobody ended it.
+  void givesBackTheConnectionOfARefusedCommit() {
+    auto Sim = started();
+    for (int Round = 0; Round < 40; ++Round) {
+      CallerSessionId Id = Sim->open(0, "primary");
+      Sim->ask(0, Id, Verb::Begin);
+      CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).Code == Code::Done);
+      Sim->refuseNext("a", 20);
+      CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Commit).Code == Code::Busy);
+      Sim->refuseNext("a", 0);
+      CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).Code == Code::Done);
+      CPPUNIT_ASSERT(!Sim->executions().back().InTransaction);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(40), Sim->acknowledgedWrites());
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  // A busy database has not run the statement, and the transaction is open.
+  void repeatsARefusedStatementOfATransaction() {
+    auto Sim = started();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Begin);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).Code == Code::Done);
+    Sim->refuseNext("a", 2);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).Code == Code::Done);
+    Sim->refuseNext("a", 2);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Commit).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->acknowledgedWrites());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionServiceTest);
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -29,6 +29,7 @@
   bool Up = true;
   std::uint64_t Life = 1;
   Milliseconds Lag{8};
+  std::size_t Refusals = 0;
 
   Position position() const { return {Term, Size}; }
   /// Greatest index of a term's entries that the log holds.
@@ -564,6 +565,11 @@
     On.BegunTerm = At.Term;
     break;
   case CommandVerb::Forward: {
+    if (At.Refusals > 0) {
+      --At.Refusals;
+      Answer.Code = StatementCode::Busy;
+      break;
+    }
     auto Waiting =
         std::find_if(Pending_.begin(), Pending_.end(), [&](const auto &Entry) {
           return Entry.second.StatementId == Command.Id;
@@ -999,6 +1005,10 @@
   ++ListRevision_;
 }
 
+void Simulation::refuseNext(const DatabaseId &Id, std::size_t Count) {
+  database(Id).Refusals = Count;
+}
+
 void Simulation::setReplicationLag(const DatabaseId &Id, Milliseconds Lag) {
   database(Id).Lag = Lag;
 }
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -41,6 +41,9 @@
   void restartHost(std::size_t Host);
   void crashDatabase(const DatabaseId &Id, Milliseconds Down);
   void setDraining(const DatabaseId &Id);
+  /// The database refuses this many of the next statements of callers as busy;
+  /// an open transaction stays open.
+  void refuseNext(const DatabaseId &Id, std::size_t Count);
   void setReplicationLag(const DatabaseId &Id, Milliseconds Lag);
 
   // Callers.
