Give the slot of a host that is gone to another one

Cause: a slot stayed with its host for good, so an availability zone whose members' machines are replaced one after the other ended without members. Change: a host that relays and finds a member out of reach for 12 s takes its slot; promoters go on waiting for the former host, which may live on cut off, and it gives up its membership once it sees the list. Tests: takesTheSlotOfAHostThatIsGone, leavesTheSlotOfAHostThatIsBack.

--- a/packages/sessions/membership.cpp
+++ b/packages/sessions/membership.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds FirstListInterval{1500};
 /// A host that was stopped has its slot back if it returns within this time.
 constexpr Milliseconds StoppedRetention{8000};
+/// A host that is out of reach for this long loses its slot.
+constexpr Milliseconds SilentRetention{12000};
 
 } // namespace
 
@@ -48,6 +50,8 @@
   Slots_ = std::move(Slots);
   auto Own = std::find_if(Slots_.begin(), Slots_.end(),
                           [&](const auto &Slot) { return Slot.Host == Self_; });
+  if (Member_ && Own == Slots_.end())
+    stepDown();
   if (Member_ || Stopping_ || Own == Slots_.end())
     return;
   Own_ = *Own;
@@ -56,6 +60,14 @@
     join(Own->Revision);
 }
 
+/// Another host has taken the slot while this one was out of reach.
+void Membership::stepDown() {
+  Member_ = false;
+  NoneFree_ = true;
+  Own_ = MemberSlot{};
+  Functions_.Decided(false);
+}
+
 void Membership::join(std::uint64_t Revision) {
   Own_.Revision = Revision;
   Member_ = true;
@@ -67,7 +79,9 @@
     return true;
   if (!Slot.Stopped) {
     StoppedSince_.erase(Slot.Name);
-    return false;
+    std::optional<Milliseconds> Silent =
+        Functions_.OutOfReachFor(Slot.Host, Now);
+    return Silent && *Silent >= SilentRetention;
   }
   TimePoint Since = StoppedSince_.try_emplace(Slot.Name, Now).first->second;
   return Now - Since >= StoppedRetention;
@@ -88,8 +102,12 @@
         });
     if (Known != Slots_.end() && !isTakeable(*Known, Now))
       continue;
-    if (Known != Slots_.end())
+    if (Known != Slots_.end()) {
       Wanted.Revision = Known->Revision;
+      Wanted.Former = Known->Former;
+      if (!Known->Stopped && Known->Host != Self_)
+        Wanted.Former.insert(Known->Host);
+    }
     bool IsOwn = Known != Slots_.end() && Known->Host == Self_;
     if (IsOwn || !Free)
       Free = Wanted;
@@ -132,6 +150,8 @@
   }
   Own_ = *Free;
   Own_.Host = Self_;
+  // From here on it is waited for as the slot's host.
+  Own_.Former.erase(Self_);
   Own_.Place = Place_;
   Writing_ = true;
   Functions_.Write(Own_, Own_.Revision);
--- a/packages/sessions/membership.h
+++ b/packages/sessions/membership.h
@@ -4,6 +4,7 @@
 #include "sessions/dutykeeper.h"
 
 #include <functional>
+#include <set>
 
 namespace nutmegloom {
 
@@ -16,6 +17,9 @@
   ListedHost Place;
   /// The host has ended: it uses no database any more.
   bool Stopped = false;
+  /// Hosts that had the slot and fell silent. They may still live, cut off, and
+  /// go by leadership records, so promoters wait for them as for members.
+  std::set<HostName> Former;
   /// Version in the store; zero: it is not there.
   std::uint64_t Revision = 0;
 };
@@ -26,7 +30,8 @@
 /// bounds what hosts must tell each other: only members read leaderships and
 /// exchange observations, the others send their statements to members. With few
 /// hosts all are members. Slots are written on condition, so hosts that start
-/// together take different ones; a host that restarts takes its own again.
+/// together take different ones; a host that restarts takes its own again, and
+/// the slot of one that is gone goes to another host.
 class Membership {
 public:
   struct Hooks {
@@ -36,6 +41,10 @@
     /// Lists the slots, where it suffices by a cheap read that may show old
     /// data. Ends in onListed or onListFailed.
     std::function<void(bool MayBeOld)> List;
+    /// How long a host has been out of reach; nothing: it answers, or it was
+    /// not asked.
+    std::function<std::optional<Milliseconds>(const HostName &, TimePoint)>
+        OutOfReachFor;
     /// This host is a member from now on, or it is not for the time being.
     std::function<void(bool IsMember)> Decided;
   };
@@ -59,6 +68,7 @@
   std::size_t slotsPerZone() const;
   std::optional<MemberSlot> freeSlot(TimePoint Now);
   bool isTakeable(const MemberSlot &Slot, TimePoint Now);
+  void stepDown();
   void list(TimePoint Now);
   void join(std::uint64_t Revision);
 
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -265,6 +265,8 @@
 void StatementRouter::onLinkLost(const HostName &Host, bool WasOpen,
                                  TimePoint Now) {
   Health &Known = Health_[Host];
+  if (!Known.Lost)
+    Known.LostAt = Now;
   Known.Lost = true;
   Known.AwaitsAnswer = false;
   std::vector<CallerSessionId> Resting;
@@ -357,6 +359,14 @@
   }
 }
 
+std::optional<Milliseconds>
+StatementRouter::outOfReachFor(const HostName &Host, TimePoint Now) const {
+  auto Found = Health_.find(Host);
+  if (Found == Health_.end() || !Found->second.Lost)
+    return std::nullopt;
+  return std::chrono::floor<Milliseconds>(Now - Found->second.LostAt);
+}
+
 void StatementRouter::tick(TimePoint Now) {
   if (ServesDatabases_)
     handOverWaiting(Now);
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -51,6 +51,10 @@
   void onLinkLost(const HostName &Host, bool WasOpen, TimePoint Now);
   void tick(TimePoint Now);
 
+  /// How long a host has been out of reach; nothing: it answers, or it was not
+  /// asked.
+  std::optional<Milliseconds> outOfReachFor(const HostName &Host,
+                                            TimePoint Now) const;
   /// Latest configuration that another host has told of.
   std::uint64_t configurationVersionSeen() const { return VersionSeen_; }
   std::size_t inProgress() const { return Works_.size(); }
@@ -65,6 +69,7 @@
   struct Health {
     /// Nothing was heard since the connection was lost.
     bool Lost = false;
+    TimePoint LostAt;
     /// The host stops.
     TimePoint AvoidUntil;
     TimePoint HeardAt;
--- a/tests/sessions/membershiptest.cpp
+++ b/tests/sessions/membershiptest.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(weakHostsServeWhereNoOthersAre);
   CPPUNIT_TEST(aRestartedHostHasItsSlotAgain);
   CPPUNIT_TEST(aStoppedHostKeepsItsSlotForAWhile);
+  CPPUNIT_TEST(takesTheSlotOfAHostThatIsGone);
+  CPPUNIT_TEST(leavesTheSlotOfAHostThatIsBack);
   CPPUNIT_TEST(takesItsSlotAfterALostAnswer);
   CPPUNIT_TEST(listsUntilTheStoreAnswers);
   CPPUNIT_TEST_SUITE_END();
@@ -27,6 +29,8 @@
   bool LosesAnswers_ = false;
   std::vector<std::unique_ptr<Membership>> Hosts_;
   std::size_t Calls_ = 0;
+  /// Hosts that the others do not reach.
+  std::map<HostName, TimePoint> LostAt_;
   /// What the store's answers set off, later than the calls.
   std::vector<std::function<void()>> Answers_;
 
@@ -43,6 +47,13 @@
       ++Calls_;
       Answers_.push_back([this, At] { list(At); });
     };
+    Hooks.OutOfReachFor = [this](const HostName &Host,
+                                 TimePoint Now) -> std::optional<Milliseconds> {
+      auto Found = LostAt_.find(Host);
+      if (Found == LostAt_.end())
+        return std::nullopt;
+      return std::chrono::floor<Milliseconds>(Now - Found->second);
+    };
     Hooks.Decided = [](bool) {};
     ListedHost Place{Name + ":1", Zone, "region"};
     Hosts_.push_back(
@@ -157,6 +168,41 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), members());
   }
 
+  // Machines are removed for good. The host that is gone may only be cut off,
+  // so promoters must go on waiting for it; it leaves its slot once it knows.
+  void takesTheSlotOfAHostThatIsGone() {
+    Membership &Gone = start("a", "z", 12);
+    start("b", "z", 12);
+    run(Milliseconds{500});
+    Membership &Next = start("c", "z", 12);
+    run(Milliseconds{1000});
+    CPPUNIT_ASSERT(Gone.isMember() && !Next.isMember());
+    LostAt_["a"] = Now_;
+    run(Milliseconds{8000});
+    CPPUNIT_ASSERT(!Next.isMember());
+    run(Milliseconds{7000});
+    CPPUNIT_ASSERT(Next.isMember());
+    bool IsRemembered =
+        std::any_of(Store_.begin(), Store_.end(), [](const auto &Entry) {
+          return Entry.second.Host == "c" && Entry.second.Former.contains("a");
+        });
+    CPPUNIT_ASSERT(IsRemembered);
+    run(Milliseconds{11000});
+    CPPUNIT_ASSERT(!Gone.isMember());
+  }
+
+  void leavesTheSlotOfAHostThatIsBack() {
+    start("a", "z", 12);
+    start("b", "z", 12);
+    run(Milliseconds{500});
+    Membership &Next = start("c", "z", 12);
+    LostAt_["a"] = Now_;
+    run(Milliseconds{9000});
+    LostAt_.clear();
+    run(Milliseconds{20000});
+    CPPUNIT_ASSERT(!Next.isMember());
+  }
+
   void takesItsSlotAfterALostAnswer() {
     Membership &Host = start("a", "z", 6);
     LosesAnswers_ = true;
