Add a fault soak of real processes; log databases that can't be reached

The soak starts processes of nutmegloom-platform on loopback addresses, some of them members and some that relay, between stand-ins and proxies that delay, cut one way, silence and reset connections; processes are stopped, paused, killed and restarted; the store is away, slow, loses answers and history; databases crash. It compares what callers sent and were told with what the databases ran: unknown or changed statements, foreign values and transactions, writes kept twice, lost, or kept although reported as not kept, hosts that do not serve afterwards, processes that end by themselves. A process that a test starts no longer inherits the sockets of the test: a crashed stand-in's port stayed in use by the children.

--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -41,7 +41,8 @@
                },
                [this](const GroupId &Group, TimePoint Now) {
                  return Promotions_.leaderExpectedIn(Group, Now);
-               }}),
+               },
+               Functions_.ReachChanged}),
       Relayed_(Runner_, Functions_.Relayed),
       Router_(Runner_, Table_, Authority_, Hosts_,
               {Functions_.AskHost, Functions_.CloseRelay,
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -19,6 +19,10 @@
     PromotionSystem::Hooks Promotions;
     /// Asks whether a database's process answers at all. Ends in onProbed.
     std::function<void(const DatabaseListing &)> Probe;
+    /// See StatementRunner::Hooks.
+    std::function<void(const DatabaseId &, bool Reached,
+                       std::string_view Reason)>
+        ReachChanged;
     /// To other hosts that run statements for this one.
     std::function<void(const HostName &, const RelayMessage &)> AskHost;
     std::function<void(const HostName &)> CloseRelay;
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -280,6 +280,8 @@
   std::optional<DatabaseId> Database = Pool_.onOpened(Connection, Now);
   if (!Database)
     return;
+  if (Unreached_.erase(*Database) > 0)
+    Functions_.ReachChanged(*Database, true, "");
   Table_.onAnswer(*Database, Log, BegunAt);
   const DatabaseView *View = Table_.find(*Database);
   if (!View)
@@ -296,6 +298,11 @@
   std::optional<DatabaseId> Database = Pool_.onClosed(Connection);
   if (!Database)
     return;
+  if (Unreached_.insert(*Database).second)
+    Functions_.ReachChanged(*Database, false,
+                            Code      ? nameOf(*Code)
+                            : Refused ? "refused"
+                                      : "no answer");
   if (Code == StatementCode::Overloaded)
     Pool_.onOverloaded(*Database, Now);
   else
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -24,6 +24,10 @@
     /// Time until a leader of the group is expected; nothing: unknown.
     std::function<std::optional<Milliseconds>(const GroupId &, TimePoint)>
         LeaderExpectedIn;
+    /// Connections to a database can't be opened any more, or they can again.
+    std::function<void(const DatabaseId &, bool Reached,
+                       std::string_view Reason)>
+        ReachChanged;
   };
 
   StatementRunner(DatabaseTable &Table, LeaderAuthority &Authority,
@@ -161,6 +165,8 @@
   StatementQueue Queue_;
   std::map<CallerSessionId, Progress> Works_;
   std::map<ConnectionId, Link> Links_;
+  /// Databases to which the latest connection could not be opened.
+  std::set<DatabaseId> Unreached_;
 };
 
 } // namespace nutmegloom
--- a/packages/telemetry/sessionmetrics.cpp
+++ b/packages/telemetry/sessionmetrics.cpp
@@ -107,6 +107,9 @@
   S.set("database_connections", static_cast<double>(Now.DatabaseConnections));
   S.set("live_hosts", static_cast<double>(Now.LiveHosts));
   S.set("store_calls", static_cast<double>(Now.StoreCalls));
+  S.set("member", Now.Member ? 1 : 0);
+  S.set("sessions_of_others", static_cast<double>(Now.SessionsOfOthers));
+  S.set("statements_at_others", static_cast<double>(Now.StatementsAtOthers));
   for (const SessionGauges::Group &Group : Now.Groups) {
     S.Terms.Add({{"group", Group.Id}})
         .Set(Group.Settled ? static_cast<double>(Group.Term) : 0);
--- a/packages/telemetry/sessionmetrics.h
+++ b/packages/telemetry/sessionmetrics.h
@@ -19,6 +19,12 @@
   std::size_t DatabaseConnections = 0;
   std::size_t LiveHosts = 0;
   std::uint64_t StoreCalls = 0;
+  /// This host holds connections to databases.
+  bool Member = false;
+  /// Sessions of other hosts that have a statement or a transaction here.
+  std::size_t SessionsOfOthers = 0;
+  /// Statements of this host that others run.
+  std::size_t StatementsAtOthers = 0;
   struct Group {
     GroupId Id;
     std::uint64_t Term = 0;
--- a/testing/scenario/scenariorunner.h
+++ b/testing/scenario/scenariorunner.h
@@ -2,7 +2,7 @@
 #define NUTMEGLOOM_TESTING_SCENARIO_SCENARIORUNNER_H
 
 #include "testing/scenario/httpcalls.h"
-#include "testing/scenario/processtable.h"
+#include "testing/support/processtable.h"
 
 #include <string>
 
--- /dev/null
+++ b/testing/soak/callers.h
@@ -0,0 +1,95 @@
+#ifndef NUTMEGLOOM_TESTING_SOAK_CALLERS_H
+#define NUTMEGLOOM_TESTING_SOAK_CALLERS_H
+
+#include "protocol/messagestream.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <random>
+#include <vector>
+
+namespace nutmegloom::testing {
+
+/// What a caller was told of a statement.
+enum class Told { Nothing, Done, NotKept, Unknown };
+
+/// A statement as its caller sent it.
+struct SentStatement {
+  std::string Text;
+  std::size_t Caller = 0;
+  /// Number of the transaction; zero: none.
+  std::uint64_t Transaction = 0;
+  Told Answer = Told::Nothing;
+};
+
+/// Callers on connections of their own: single statements and transactions,
+/// one after the other, at a host until the connection ends, then at another.
+class Callers {
+public:
+  struct Hooks {
+    /// Address of a host to connect to.
+    std::function<std::string()> PickHost;
+  };
+
+  Callers(boost::asio::io_context &Io, std::uint32_t Seed, std::size_t Count,
+          std::vector<std::string> Routes, Hooks Functions);
+
+  /// Name of the value that each caller sets, to its own number.
+  static constexpr const char *ValueName = "caller";
+
+  void stop() { Stopping_ = true; }
+  const std::map<std::string, SentStatement> &sent() const { return Sent_; }
+  /// How the commit of a transaction was answered.
+  const std::map<std::uint64_t, Told> &commits() const { return Commits_; }
+  std::size_t answered() const { return Answered_; }
+  /// Statements that were done at each host so far.
+  const std::map<std::string, std::size_t> &doneByHost() const {
+    return DoneByHost_;
+  }
+
+private:
+  struct Caller {
+    explicit Caller(boost::asio::io_context &Io) : Timer(Io) {}
+    std::size_t Number = 0;
+    std::string Host;
+    std::shared_ptr<MessageStream> Stream;
+    boost::asio::steady_timer Timer;
+    /// Tells a timer's call from that of an earlier one, which can't be taken
+    /// back once it is due.
+    std::uint64_t Round = 0;
+    std::string Pending;
+    std::string Error;
+    bool Accepted = false;
+    bool ValueSet = false;
+    std::uint64_t Transaction = 0;
+    int Left = 0;
+  };
+
+  void connect(const std::shared_ptr<Caller> &Of);
+  void onLine(const std::shared_ptr<Caller> &Of, std::string_view Line);
+  void onClosed(const std::shared_ptr<Caller> &Of);
+  void next(const std::shared_ptr<Caller> &Of);
+  void send(const std::shared_ptr<Caller> &Of, const std::string &Text);
+  void note(Caller &Of, Told Answer);
+  void after(const std::shared_ptr<Caller> &Of, std::chrono::milliseconds Time,
+             std::function<void()> Call);
+  int pick(int Least, int Greatest);
+
+  boost::asio::io_context &Io_;
+  std::mt19937 Random_;
+  std::vector<std::string> Routes_;
+  Hooks Functions_;
+  std::vector<std::shared_ptr<Caller>> Callers_;
+  std::map<std::string, SentStatement> Sent_;
+  std::map<std::uint64_t, Told> Commits_;
+  std::uint64_t LastStatement_ = 0;
+  std::uint64_t LastTransaction_ = 0;
+  std::size_t Answered_ = 0;
+  std::map<std::string, std::size_t> DoneByHost_;
+  bool Stopping_ = false;
+};
+
+} // namespace nutmegloom::testing
+
+#endif // NUTMEGLOOM_TESTING_SOAK_CALLERS_H
--- a/testing/standinsessions/objectapi.cpp
+++ b/testing/standinsessions/objectapi.cpp
@@ -149,8 +149,12 @@
   }
   if (Method == "GET")
     Respond(list(Kind));
-  else
-    Respond(write(Kind, Name, Method, std::string(Request.Body)));
+  else {
+    HttpResponse Written = write(Kind, Name, Method, std::string(Request.Body));
+    // A connection whose answer is lost carries nothing further.
+    if (std::uniform_real_distribution<>(0, 1)(Random_) >= LostWrites_)
+      Respond(std::move(Written));
+  }
   return {};
 }
 
--- a/testing/standinsessions/objectapi.h
+++ b/testing/standinsessions/objectapi.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <random>
 
 namespace nutmegloom::testing {
 
@@ -26,6 +27,8 @@
                                      const std::string &Name) const;
   /// Every call is refused.
   void setDown(bool Down) { Down_ = Down; }
+  /// Every write is done, and this share of them is not answered.
+  void setLostWrites(double Share) { LostWrites_ = Share; }
   /// Watches are told that the history is gone.
   void dropHistory();
   std::size_t promotions() const { return Promotions_; }
@@ -59,6 +62,8 @@
   std::uint64_t Revision_ = 10;
   std::size_t Promotions_ = 0;
   bool Down_ = false;
+  double LostWrites_ = 0;
+  std::mt19937 Random_{1};
 };
 
 } // namespace nutmegloom::testing
--- a/testing/standinsessions/sessiondatabases.cpp
+++ b/testing/standinsessions/sessiondatabases.cpp
@@ -2,28 +2,43 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace nutmegloom::testing {
 
 using boost::asio::ip::tcp;
 
+/// Outgoing connections take their ports at the first loopback address; a port
+/// here stays free while a database is down.
+static constexpr const char *Ip = "127.0.2.1";
+
 SessionDatabases::SessionDatabases(boost::asio::io_context &Io,
                                    std::string Group,
                                    const std::vector<std::string> &Ids)
     : Group_(std::move(Group)), Primary_(Ids.front()) {
   for (const std::string &Id : Ids) {
     Members_[Id] = std::make_unique<Member>(Io);
-    tcp::acceptor &Acceptor = Members_[Id]->Acceptor;
-    Acceptor.open(tcp::v4());
-    Acceptor.bind(tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    Acceptor.listen();
-    accept(Id);
+    listen(Id, 0);
   }
 }
 
+void SessionDatabases::listen(const std::string &Id, std::uint16_t Port) {
+  tcp::acceptor &Acceptor = Members_[Id]->Acceptor;
+  Acceptor.open(tcp::v4());
+  Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Acceptor.bind(tcp::endpoint(boost::asio::ip::make_address(Ip), Port));
+  Acceptor.listen();
+  Members_[Id]->Port = Acceptor.local_endpoint().port();
+  accept(Id);
+}
+
+void SessionDatabases::restart(const std::string &Id) {
+  Members_.at(Id)->Up = true;
+  listen(Id, Members_.at(Id)->Port);
+}
+
 std::string SessionDatabases::addressOf(const std::string &Id) const {
-  auto Port = Members_.at(Id)->Acceptor.local_endpoint().port();
-  return "127.0.0.1:" + std::to_string(Port);
+  return std::string(Ip) + ":" + std::to_string(Members_.at(Id)->Port);
 }
 
 void SessionDatabases::accept(const std::string &Id) {
@@ -47,6 +62,7 @@
   Crashed.Acceptor.close();
   for (auto &Stream : Crashed.Streams)
     Stream->close();
+  Crashed.Streams.clear();
 }
 
 void SessionDatabases::promote(const std::string &Id) {
@@ -75,16 +91,44 @@
                      std::to_string(Index_) + "\r\n");
     return;
   }
-  std::string Query;
-  Words >> Query >> std::ws;
+  std::string Statement;
+  Words >> Statement >> std::ws;
   std::string Text;
   std::getline(Words, Text);
-  std::string Result = answer(Id, Of, Text);
+  std::string Result = answer(Id, Of, Statement, Text);
   Of.Stream->write(Result + "READY " + Of.State + " " + std::to_string(Term_) +
                    "." + std::to_string(Index_) + "\r\n");
 }
 
+/// What changes no data.
+std::string SessionDatabases::control(const std::string &Id, Session &Of,
+                                      const std::string &Text) {
+  if (Text == "STATUS")
+    return "DATAROW " + std::string(Id == Primary_ ? "primary " : "replica ") +
+           std::to_string(Term_) + " " + std::to_string(Term_) + "." +
+           std::to_string(Index_) + " 0 0 0 1\r\n";
+  if (Text.starts_with("BEGIN")) {
+    Of.State = "T";
+    Of.Transaction = ++LastTransaction_;
+    Of.BegunTerm = Term_;
+    Of.Open.clear();
+  }
+  if (Text == "ROLLBACK") {
+    Of.State = "I";
+    Of.Writes = 0;
+    Of.Transaction = 0;
+  }
+  if (Text == "RESET")
+    Of.Values.clear();
+  if (Text.starts_with("SET ")) {
+    std::size_t Blank = Text.find(' ', 4);
+    Of.Values[Text.substr(4, Blank - 4)] = Text.substr(Blank + 1);
+  }
+  return {};
+}
+
 std::string SessionDatabases::answer(const std::string &Id, Session &Of,
+                                     const std::string &Statement,
                                      std::string Text) {
   bool Leads = Id == Primary_;
   if (Text.starts_with("WAITFOR ")) {
@@ -94,34 +138,33 @@
       return "ERROR LAGGING " + Id + "\r\n";
     Text = Text.substr(Blank + 1);
   }
-  if (Text == "STATUS")
-    return "DATAROW " + std::string(Leads ? "primary " : "replica ") +
-           std::to_string(Term_) + " " + std::to_string(Term_) + "." +
-           std::to_string(Index_) + " 0 0 0 1\r\nCOMPLETE -\r\n";
-  if (Text == "BEGIN" || Text == "BEGIN READ") {
-    Of.State = "T";
-    return "COMPLETE -\r\n";
-  }
-  if (Text == "ROLLBACK") {
-    Of.State = "I";
-    Of.Writes = 0;
-    return "COMPLETE -\r\n";
-  }
   bool Writes = Text.starts_with("WRITE") || Text.starts_with("EXECUTE w_");
   bool Reads = Text.starts_with("READ") || Text.starts_with("EXECUTE r_");
-  if (!Writes && !Reads && Text != "COMMIT")
-    return "COMPLETE -\r\n";
-  if (Writes && !Leads)
+  bool Commits = Text == "COMMIT";
+  if (!Writes && !Reads && !Commits)
+    return control(Id, Of, Text) + "COMPLETE -\r\n";
+  bool LostLead = Of.State == "T" && Of.BegunTerm != Term_ &&
+                  (Writes || (Commits && Of.Writes > 0));
+  if ((Writes && !Leads) || LostLead) {
+    Of.State = Of.State == "T" && !Commits ? "E" : "I";
     return "ERROR READONLY " + Id + "\r\n";
+  }
   Executed_.emplace_back(Id, Text);
+  Runs_.push_back({Statement, Text, Id, Of.Values, Of.Transaction,
+                   Writes && Of.State == "I"});
   if (Writes && Of.State == "T")
     ++Of.Writes;
   else if (Writes)
     ++Index_;
-  if (Text == "COMMIT") {
+  if (Of.State == "T")
+    Of.Open.push_back(Runs_.size() - 1);
+  if (Commits) {
+    for (std::size_t At : std::exchange(Of.Open, {}))
+      Runs_[At].Committed = true;
     Index_ += Of.Writes;
     Of.Writes = 0;
     Of.State = "I";
+    Of.Transaction = 0;
   }
   std::string Rows = Reads ? "DATAROW row\r\n" : "";
   return Rows + "COMPLETE sig-" + Id + "\r\n";
--- a/testing/standinsessions/sessiondatabases.h
+++ b/testing/standinsessions/sessiondatabases.h
@@ -23,6 +23,8 @@
   bool isUp(const std::string &Id) const { return Members_.at(Id)->Up; }
   /// The database stops to accept and breaks its connections.
   void crash(const std::string &Id);
+  /// The database accepts again at its address, with its log.
+  void restart(const std::string &Id);
   /// The database leads the next term.
   void promote(const std::string &Id);
   /// Texts of the statements that ran, with the id of their database.
@@ -31,22 +33,45 @@
   }
   std::size_t commits() const { return Index_; }
 
+  /// A statement of a caller that ran.
+  struct Run {
+    std::string Statement;
+    std::string Text;
+    std::string Database;
+    std::map<std::string, std::string> Values;
+    /// Number of the transaction on the database; zero: none.
+    std::uint64_t Transaction = 0;
+    /// Its effect is kept.
+    bool Committed = false;
+  };
+  const std::vector<Run> &runs() const { return Runs_; }
+
 private:
   struct Member {
     explicit Member(boost::asio::io_context &Io) : Acceptor(Io) {}
     boost::asio::ip::tcp::acceptor Acceptor;
     std::vector<std::shared_ptr<MessageStream>> Streams;
     bool Up = true;
+    std::uint16_t Port = 0;
   };
   struct Session {
     std::shared_ptr<MessageStream> Stream;
     std::string State = "I";
     std::size_t Writes = 0;
+    std::uint64_t Transaction = 0;
+    std::uint64_t BegunTerm = 0;
+    /// Runs of the open transaction.
+    std::vector<std::size_t> Open;
+    std::map<std::string, std::string> Values;
   };
 
   void accept(const std::string &Id);
   void onLine(const std::string &Id, Session &Of, std::string_view Line);
-  std::string answer(const std::string &Id, Session &Of, std::string Text);
+  std::string answer(const std::string &Id, Session &Of,
+                     const std::string &Statement, std::string Text);
+  std::string control(const std::string &Id, Session &Of,
+                      const std::string &Text);
+  void listen(const std::string &Id, std::uint16_t Port);
 
   std::string Group_;
   std::string Primary_;
@@ -54,6 +79,8 @@
   std::uint64_t Index_ = 0;
   std::map<std::string, std::unique_ptr<Member>> Members_;
   std::vector<std::pair<std::string, std::string>> Executed_;
+  std::vector<Run> Runs_;
+  std::uint64_t LastTransaction_ = 0;
 };
 
 } // namespace nutmegloom::testing
--- a/testing/scenario/processtable.cpp
+++ b/testing/support/processtable.cpp
@@ -1,6 +1,7 @@
-#include "testing/scenario/processtable.h"
+#include "testing/support/processtable.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -40,6 +41,8 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int Out = open(Output, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   const int Error = open(Log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  // Sockets of the starting process would stay open in the child.
+  close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
   dup2(Out, STDOUT_FILENO);
   dup2(Error, STDERR_FILENO);
   execv(Arguments[0], Arguments);
--- a/testing/scenario/processtable.h
+++ b/testing/support/processtable.h
@@ -1,5 +1,5 @@
-#ifndef NUTMEGLOOM_TESTING_SCENARIO_PROCESSTABLE_H
-#define NUTMEGLOOM_TESTING_SCENARIO_PROCESSTABLE_H
+#ifndef NUTMEGLOOM_TESTING_SUPPORT_PROCESSTABLE_H
+#define NUTMEGLOOM_TESTING_SUPPORT_PROCESSTABLE_H
 
 #include <sys/types.h>
 
@@ -10,7 +10,7 @@
 
 namespace nutmegloom::testing {
 
-/// The processes of a scenario, by name. All of them end with this object and
+/// Processes that a test starts, by name. All of them end with this object and
 /// with the runner's process. Functions throw std::runtime_error.
 class ProcessTable {
 public:
@@ -47,4 +47,4 @@
 
 } // namespace nutmegloom::testing
 
-#endif // NUTMEGLOOM_TESTING_SCENARIO_PROCESSTABLE_H
+#endif // NUTMEGLOOM_TESTING_SUPPORT_PROCESSTABLE_H
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -172,6 +172,11 @@
   Hooks.Send = [this, Index](ConnectionId Id, const DatabaseCommand &Command) {
     sendCommand(Index, Id, Command);
   };
+  Hooks.ReachChanged = [this, Index](const DatabaseId &Id, bool Reached,
+                                     std::string_view Reason) {
+    note(Hosts_[Index]->Name + (Reached ? " reaches " : " does not reach ") +
+         Id + " " + std::string(Reason));
+  };
   Hooks.AskHost = [this, Index](const HostName &Host,
                                 const RelayMessage &Message) {
     relayTo(Index, Host, Message);
@@ -503,8 +508,8 @@
   std::shared_ptr<Link> On = Found->second;
   On->BusyUntil = std::max(On->BusyUntil, Now_ + DatabaseLatency);
   if (Command.Verb == CommandVerb::Forward)
-    On->BusyUntil += Command.Text.ends_with(SlowText) ? SlowServiceTime
-                                                      : ServiceTime;
+    On->BusyUntil +=
+        Command.Text.ends_with(SlowText) ? SlowServiceTime : ServiceTime;
   auto Delay = std::chrono::ceil<Milliseconds>(On->BusyUntil - Now_);
   // What is sent into a cut is lost, and so is the connection.
   if (isCut(Index, On->Database))
