Take a reset before the first answer for a full database, not a lost one

Cause: a database over its cap closes new connections before it has read from them, which resets them and loses its answer. Ruled out: slow starts (members were ready 0.1 to 0.7 s after the power). Change: a reset of a connection that is being opened means a full database, for 1.5 s after its last answer or while this process has not heard from it; later it counts as a failure, so a primary that only resets is still replaced. Tests: DatabaseLinksTest::tellsAResetBeforeTheAnswer and SessionServiceTest::waitsForADatabaseThatIsFullAfterAStart failed before; replacesAPrimaryThatOnlyResets.

--- a/packages/protocol/messagestream.cpp
+++ b/packages/protocol/messagestream.cpp
@@ -246,11 +246,19 @@
   return tcp::endpoint(Ip, Port);
 }
 
+static ConnectResult resultOf(const boost::system::error_code &Error) {
+  if (Error == asio::error::connection_refused)
+    return ConnectResult::Refused;
+  if (Error == asio::error::connection_reset)
+    return ConnectResult::Reset;
+  return ConnectResult::NoAnswer;
+}
+
 void connectStream(asio::io_context &Io, std::string_view Address, Framing Cut,
                    ConnectLimits Limits, ConnectHandler Handler) {
   std::optional<tcp::endpoint> Endpoint = endpointOf(Address);
   if (!Endpoint) {
-    Handler(nullptr, false);
+    Handler(nullptr, ConnectResult::NoAnswer);
     return;
   }
   auto Socket = std::make_shared<tcp::socket>(Io);
@@ -265,11 +273,12 @@
                                     Handler = std::move(Handler)](auto Error) {
     Timer->cancel();
     if (Error || !Socket->is_open()) {
-      Handler(nullptr, Error == asio::error::connection_refused);
+      Handler(nullptr, resultOf(Error));
       return;
     }
     setUnansweredTimeout(*Socket, Unanswered);
-    Handler(MessageStream::create(std::move(*Socket), Cut), false);
+    Handler(MessageStream::create(std::move(*Socket), Cut),
+            ConnectResult::Connected);
   });
 }
 
--- a/packages/protocol/messagestream.h
+++ b/packages/protocol/messagestream.h
@@ -85,9 +85,18 @@
   std::chrono::milliseconds Unanswered{1500};
 };
 
-/// Gets no stream on failure; Refused: nothing listens at the address.
+enum class ConnectResult {
+  Connected,
+  /// Nothing listens at the address.
+  Refused,
+  /// The peer has closed the connection at once.
+  Reset,
+  NoAnswer,
+};
+
+/// Gets a stream only when it is connected.
 using ConnectHandler =
-    std::function<void(std::shared_ptr<MessageStream>, bool Refused)>;
+    std::function<void(std::shared_ptr<MessageStream>, ConnectResult)>;
 
 /// Connects to "IP:port".
 void connectStream(boost::asio::io_context &Io, std::string_view Address,
--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -104,7 +104,7 @@
   // The result is taken up after the caller of this function has finished.
   asio::post(Io_, [this, Host, Address, Attempt] {
     connectStream(Io_, Address, Framing::LengthPrefixed, HostLimits,
-                  [this, Host, Attempt](const auto &Stream, bool) {
+                  [this, Host, Attempt](const auto &Stream, ConnectResult) {
                     onConnected(Host, Attempt, Stream);
                   });
   });
--- a/packages/sessions/sessiontypes.cpp
+++ b/packages/sessions/sessiontypes.cpp
@@ -22,6 +22,9 @@
 constexpr std::array<std::string_view, 3> ConsistencyModeNames{
     "primary", "bounded_staleness", "read_your_writes"};
 
+constexpr std::array<std::string_view, 4> OpenFailureNames{
+    "no_answer", "refused", "reset", "answered"};
+
 constexpr std::array<std::string_view, 2> LeadershipPhaseNames{"settled",
                                                                "promoting"};
 
@@ -39,6 +42,9 @@
 std::string_view nameOf(StatementCode Code) {
   return nameIn(StatementCodeNames, Code);
 }
+std::string_view nameOf(OpenFailure Failure) {
+  return nameIn(OpenFailureNames, Failure);
+}
 std::string_view nameOf(CommandVerb Verb) {
   return nameIn(CommandVerbNames, Verb);
 }
--- a/packages/sessions/sessiontypes.h
+++ b/packages/sessions/sessiontypes.h
@@ -70,6 +70,18 @@
 };
 std::string_view nameOf(StatementCode Code);
 
+/// Why a connection to a database could not be opened.
+enum class OpenFailure {
+  NoAnswer,
+  /// No process listens at the address.
+  Refused,
+  /// The database closed the connection without a readable answer.
+  Reset,
+  /// The database answered with a code.
+  Answered,
+};
+std::string_view nameOf(OpenFailure Failure);
+
 /// State of a session between statements, as its protocol reports it.
 enum class SessionState { Idle, InTransaction, Failed };
 
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -13,6 +13,8 @@
 constexpr Milliseconds UrgentWait{10};
 /// A connection that no session uses owes its answers within this time.
 constexpr Milliseconds OrphanTimeout{2000};
+/// Resets count as those of a full database for this long after its answers.
+constexpr Milliseconds ResetTrust{1500};
 /// Work of a group that is looked at when one connection becomes free.
 constexpr std::size_t MaximumScan = 32;
 
@@ -292,21 +294,35 @@
   pump(Group, Now);
 }
 
-void StatementRunner::onOpenFailed(ConnectionId Connection,
+/// A database over its cap closes a connection before it has read from it. That
+/// resets the connection, and the answer is lost. One that resets connections
+/// and has answered nothing else for a while has failed.
+bool StatementRunner::isFull(const DatabaseId &Database, OpenFailure Failure,
+                             std::optional<StatementCode> Code,
+                             TimePoint Now) const {
+  if (Code == StatementCode::Overloaded)
+    return true;
+  const DatabaseView *View = Table_.find(Database);
+  bool IsSilent =
+      View && View->AnsweredAt && Now - *View->AnsweredAt > ResetTrust;
+  return Failure == OpenFailure::Reset && !IsSilent;
+}
+
+void StatementRunner::onOpenFailed(ConnectionId Connection, OpenFailure Failure,
                                    std::optional<StatementCode> Code,
-                                   bool Refused, TimePoint Now) {
+                                   TimePoint Now) {
   std::optional<DatabaseId> Database = Pool_.onClosed(Connection);
   if (!Database)
     return;
+  bool Full = isFull(*Database, Failure, Code, Now);
   if (Unreached_.insert(*Database).second)
     Functions_.ReachChanged(*Database, false,
-                            Code      ? nameOf(*Code)
-                            : Refused ? "refused"
-                                      : "no answer");
-  if (Code == StatementCode::Overloaded)
+                            Full ? nameOf(StatementCode::Overloaded)
+                                 : nameOf(Failure));
+  if (Full)
     Pool_.onOverloaded(*Database, Now);
   else
-    Table_.onFailure(*Database, Refused, Now);
+    Table_.onFailure(*Database, Failure == OpenFailure::Refused, Now);
 }
 
 void StatementRunner::onClosed(ConnectionId Connection, TimePoint Now) {
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -54,9 +54,9 @@
 
   void onOpened(ConnectionId Connection, std::optional<Position> Log,
                 TimePoint BegunAt, TimePoint Now);
-  /// Opening failed. Code tells why, if the database answered.
-  void onOpenFailed(ConnectionId Connection, std::optional<StatementCode> Code,
-                    bool Refused, TimePoint Now);
+  /// Opening failed. Code: what the database answered, if it did.
+  void onOpenFailed(ConnectionId Connection, OpenFailure Failure,
+                    std::optional<StatementCode> Code, TimePoint Now);
   void onClosed(ConnectionId Connection, TimePoint Now);
   void onAnswer(ConnectionId Connection, StatementAnswer Answer, TimePoint Now);
 
@@ -132,6 +132,8 @@
 
   void onBegun(Progress &Task, const StatementAnswer &Answer, TimePoint Now);
   void onForwarded(Progress &Task, StatementAnswer Answer, TimePoint Now);
+  bool isFull(const DatabaseId &Database, OpenFailure Failure,
+              std::optional<StatementCode> Code, TimePoint Now) const;
   bool mayRepeat(const Progress &Task, const StatementAnswer &Answer,
                  TimePoint Now) const;
   void expireLate(TimePoint Now);
--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -65,7 +65,8 @@
   Of->Pending.clear();
   Of->Error.clear();
   connectStream(
-      Io_, Of->Host, Framing::Lines, {}, [this, Of](auto Stream, bool) {
+      Io_, Of->Host, Framing::Lines, {},
+      [this, Of](auto Stream, ConnectResult) {
         if (!Stream) {
           after(Of, milliseconds{100}, [this, Of] { connect(Of); });
           return;
--- /dev/null
+++ b/tests/platform/databaselinkstest.cpp
@@ -0,0 +1,74 @@
+#include "platform/databaselinks.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// How connections that can't be opened are told apart.
+class DatabaseLinksTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DatabaseLinksTest);
+  CPPUNIT_TEST(tellsAResetBeforeTheAnswer);
+  CPPUNIT_TEST(tellsAPortWithoutAProcess);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct Failure {
+    OpenFailure Why = OpenFailure::Answered;
+    std::optional<StatementCode> Code;
+  };
+
+  asio::io_context Io_;
+  std::optional<Failure> Failed_;
+  DatabaseLinks Links_{Io_,
+                       {[] { return TimePoint{}; },
+                        [](ConnectionId, std::optional<Position>, TimePoint) {},
+                        [this](ConnectionId, OpenFailure Why,
+                               std::optional<StatementCode> Code) {
+                          Failed_ = Failure{Why, Code};
+                        },
+                        [](ConnectionId) {},
+                        [](ConnectionId, const StatementAnswer &) {}}};
+
+  void open(std::uint16_t Port) {
+    DatabaseListing Database;
+    Database.Id = "a";
+    Database.Group = "g";
+    Database.Address = "127.0.0.1:" + std::to_string(Port);
+    Links_.open(1, Database);
+    while (!Failed_)
+      Io_.run_one();
+  }
+
+  // Hosts took the primary for lost and refused its work when, after a loss of
+  // power, databases still counted the connections of the lost processes.
+  void tellsAResetBeforeTheAnswer() {
+    tcp::acceptor Acceptor(Io_,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    Acceptor.async_accept([](auto Error, tcp::socket Socket) {
+      CPPUNIT_ASSERT(!Error);
+      // Closed at once, with the first message unread.
+      Socket.set_option(asio::socket_base::linger(true, 0));
+      Socket.close();
+    });
+    open(Acceptor.local_endpoint().port());
+    CPPUNIT_ASSERT(Failed_->Why == OpenFailure::Reset);
+  }
+
+  void tellsAPortWithoutAProcess() {
+    std::uint16_t Port = 0;
+    {
+      tcp::acceptor Acceptor(
+          Io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+      Port = Acceptor.local_endpoint().port();
+    }
+    open(Port);
+    CPPUNIT_ASSERT(Failed_->Why == OpenFailure::Refused);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DatabaseLinksTest);
+
+} // namespace nutmegloom
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(givesBackTheConnectionOfARefusedCommit);
   CPPUNIT_TEST(repeatsARefusedStatementOfATransaction);
   CPPUNIT_TEST(doesNotTakeASlowPrimaryForALostOne);
+  CPPUNIT_TEST(waitsForADatabaseThatIsFullAfterAStart);
+  CPPUNIT_TEST(replacesAPrimaryThatOnlyResets);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -370,6 +372,34 @@
     for (CallerSessionId Late : Slow)
       CPPUNIT_ASSERT(Sim->answerOf(Late)->Code == Code::TimedOut);
   }
+
+  // After a loss of power databases count the lost connections for seconds and
+  // reset new ones. Hosts took them for lost and refused all work.
+  void waitsForADatabaseThatIsFullAfterAStart() {
+    auto Sim = std::make_unique<Simulation>(1);
+    for (const char *Id : {"a", "b", "c"})
+      Sim->setFull(Id, true);
+    Sim->run(Milliseconds{2000});
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->send(0, Id, Verb::Write);
+    Sim->run(Milliseconds{500});
+    CPPUNIT_ASSERT(!Sim->answerOf(Id));
+    for (const char *Database : {"a", "b", "c"})
+      Sim->setFull(Database, false);
+    Sim->run(Milliseconds{400});
+    CPPUNIT_ASSERT(Sim->answerOf(Id)->Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->promotions());
+  }
+
+  void replacesAPrimaryThatOnlyResets() {
+    auto Sim = started();
+    Sim->startCallers(2, Milliseconds{12000});
+    Sim->run(Milliseconds{1000});
+    Sim->crashDatabase("a", Milliseconds{1});
+    Sim->setFull("a", true);
+    Sim->run(Milliseconds{8000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->promotions());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionServiceTest);
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -33,6 +33,7 @@
   std::uint64_t Life = 1;
   Milliseconds Lag{8};
   std::size_t Refusals = 0;
+  bool Full = false;
 
   Position position() const { return {Term, Size}; }
   /// Greatest index of a term's entries that the log holds.
@@ -481,11 +482,19 @@
     bool Refused = !To.Up && !isCut(Index, Name);
     atHost(Index, Refused ? DatabaseLatency : Milliseconds{700},
            [this, Index, Id, Refused] {
-             Hosts_[Index]->Engine->runner().onOpenFailed(Id, std::nullopt,
-                                                          Refused, Now_);
+             Hosts_[Index]->Engine->runner().onOpenFailed(
+                 Id, Refused ? OpenFailure::Refused : OpenFailure::NoAnswer,
+                 std::nullopt, Now_);
            });
     return;
   }
+  if (To.Full) {
+    atHost(Index, DatabaseLatency, [this, Index, Id] {
+      Hosts_[Index]->Engine->runner().onOpenFailed(Id, OpenFailure::Reset,
+                                                   std::nullopt, Now_);
+    });
+    return;
+  }
   auto Made = std::make_shared<Link>();
   Made->Host = Index;
   Made->HostLife = Hosts_[Index]->Life;
@@ -1018,6 +1027,10 @@
   database(Id).Refusals = Count;
 }
 
+void Simulation::setFull(const DatabaseId &Id, bool Full) {
+  database(Id).Full = Full;
+}
+
 void Simulation::setReplicationLag(const DatabaseId &Id, Milliseconds Lag) {
   database(Id).Lag = Lag;
 }
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -44,6 +44,8 @@
   /// The database refuses this many of the next statements of callers as busy;
   /// an open transaction stays open.
   void refuseNext(const DatabaseId &Id, std::size_t Count);
+  /// The database resets connections that are opened.
+  void setFull(const DatabaseId &Id, bool Full);
   void setReplicationLag(const DatabaseId &Id, Milliseconds Lag);
 
   // Callers.
