--- a/packages/protocol/relay.capnp
+++ b/packages/protocol/relay.capnp
@@ -14,6 +14,31 @@
     loss @3 :UInt64;
     ping @4 :Void;
     pong @5 :Pong;
+    configurationRequest @6 :Void;
+    configuration @7 :Configuration;
+  }
+
+  struct Configuration {
+    version @0 :UInt64;
+    routes @1 :List(Route);
+    groups @2 :List(Group);
+    transactionIdleTimeout @3 :Int64;
+  }
+
+  struct Route {
+    database @0 :Text;
+    group @1 :Text;
+    mode @2 :UInt8;
+    statementTimeout @3 :Int64;
+    targetLatency @4 :Int64;
+    priority @5 :UInt32;
+    maximumAge @6 :Int64;
+  }
+
+  struct Group {
+    group @0 :Text;
+    connectionCap @1 :UInt32;
+    synchronousReplicas @2 :UInt32;
   }
 
   struct Pong {
--- a/packages/protocol/relay.capnp.h
+++ b/packages/protocol/relay.capnp.h
@@ -7,24 +7,27 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error                                                                         \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(a55f54e866aa6f40);
+CAPNP_DECLARE_SCHEMA(de6b268011e989b8);
+CAPNP_DECLARE_SCHEMA(f97c437ff1e0863b);
+CAPNP_DECLARE_SCHEMA(b258f6eae3be3dd8);
 CAPNP_DECLARE_SCHEMA(f9f68c1f7576ecbe);
 CAPNP_DECLARE_SCHEMA(fa278544b4a734f9);
 CAPNP_DECLARE_SCHEMA(c9f1939544378f4e);
 CAPNP_DECLARE_SCHEMA(9d500693c91fa041);
 CAPNP_DECLARE_SCHEMA(87c6f625400d2e3a);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace nutmegloom {
 namespace wire {
@@ -35,14 +38,19 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     WORK,
     END,
     RESULT,
     LOSS,
     PING,
     PONG,
+    CONFIGURATION_REQUEST,
+    CONFIGURATION,
   };
+  struct Configuration;
+  struct Route;
+  struct Group;
   struct Pong;
   struct Value;
   struct LogPosition;
@@ -51,11 +59,54 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a55f54e866aa6f40, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayMessage::Configuration {
+  Configuration() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de6b268011e989b8, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayMessage::Route {
+  Route() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f97c437ff1e0863b, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayMessage::Group {
+  Group() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b258f6eae3be3dd8, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -68,11 +119,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f9f68c1f7576ecbe, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -85,11 +134,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fa278544b4a734f9, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -102,11 +149,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c9f1939544378f4e, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -119,11 +164,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9d500693c91fa041, 5, 7)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -136,11 +179,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(87c6f625400d2e3a, 5, 6)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -151,7 +192,7 @@
   typedef RelayMessage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -161,35 +202,45 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline Which which() const;
   inline bool isWork() const;
   inline bool hasWork() const;
-  inline ::nutmegloom::wire::RelayMessage::Work::Reader getWork() const;
+  inline  ::nutmegloom::wire::RelayMessage::Work::Reader getWork() const;
 
   inline bool isEnd() const;
-  inline ::uint64_t getEnd() const;
+  inline  ::uint64_t getEnd() const;
 
   inline bool isResult() const;
   inline bool hasResult() const;
-  inline ::nutmegloom::wire::RelayMessage::Result::Reader getResult() const;
+  inline  ::nutmegloom::wire::RelayMessage::Result::Reader getResult() const;
 
   inline bool isLoss() const;
-  inline ::uint64_t getLoss() const;
+  inline  ::uint64_t getLoss() const;
 
   inline bool isPing() const;
-  inline ::capnp::Void getPing() const;
+  inline  ::capnp::Void getPing() const;
 
   inline bool isPong() const;
   inline bool hasPong() const;
-  inline ::nutmegloom::wire::RelayMessage::Pong::Reader getPong() const;
+  inline  ::nutmegloom::wire::RelayMessage::Pong::Reader getPong() const;
+
+  inline bool isConfigurationRequest() const;
+  inline  ::capnp::Void getConfigurationRequest() const;
+
+  inline bool isConfiguration() const;
+  inline bool hasConfiguration() const;
+  inline  ::nutmegloom::wire::RelayMessage::Configuration::Reader getConfiguration() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -198,66 +249,74 @@
 public:
   typedef RelayMessage Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isWork();
   inline bool hasWork();
-  inline ::nutmegloom::wire::RelayMessage::Work::Builder getWork();
-  inline void setWork(::nutmegloom::wire::RelayMessage::Work::Reader value);
-  inline ::nutmegloom::wire::RelayMessage::Work::Builder initWork();
-  inline void
-  adoptWork(::capnp::Orphan<::nutmegloom::wire::RelayMessage::Work> &&value);
-  inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Work> disownWork();
+  inline  ::nutmegloom::wire::RelayMessage::Work::Builder getWork();
+  inline void setWork( ::nutmegloom::wire::RelayMessage::Work::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::Work::Builder initWork();
+  inline void adoptWork(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Work>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Work> disownWork();
 
   inline bool isEnd();
-  inline ::uint64_t getEnd();
-  inline void setEnd(::uint64_t value);
+  inline  ::uint64_t getEnd();
+  inline void setEnd( ::uint64_t value);
 
   inline bool isResult();
   inline bool hasResult();
-  inline ::nutmegloom::wire::RelayMessage::Result::Builder getResult();
-  inline void setResult(::nutmegloom::wire::RelayMessage::Result::Reader value);
-  inline ::nutmegloom::wire::RelayMessage::Result::Builder initResult();
-  inline void adoptResult(
-      ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Result> &&value);
-  inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Result>
-  disownResult();
+  inline  ::nutmegloom::wire::RelayMessage::Result::Builder getResult();
+  inline void setResult( ::nutmegloom::wire::RelayMessage::Result::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::Result::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Result>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Result> disownResult();
 
   inline bool isLoss();
-  inline ::uint64_t getLoss();
-  inline void setLoss(::uint64_t value);
+  inline  ::uint64_t getLoss();
+  inline void setLoss( ::uint64_t value);
 
   inline bool isPing();
-  inline ::capnp::Void getPing();
-  inline void setPing(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getPing();
+  inline void setPing( ::capnp::Void value = ::capnp::VOID);
 
   inline bool isPong();
   inline bool hasPong();
-  inline ::nutmegloom::wire::RelayMessage::Pong::Builder getPong();
-  inline void setPong(::nutmegloom::wire::RelayMessage::Pong::Reader value);
-  inline ::nutmegloom::wire::RelayMessage::Pong::Builder initPong();
-  inline void
-  adoptPong(::capnp::Orphan<::nutmegloom::wire::RelayMessage::Pong> &&value);
-  inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Pong> disownPong();
+  inline  ::nutmegloom::wire::RelayMessage::Pong::Builder getPong();
+  inline void setPong( ::nutmegloom::wire::RelayMessage::Pong::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::Pong::Builder initPong();
+  inline void adoptPong(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Pong>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Pong> disownPong();
+
+  inline bool isConfigurationRequest();
+  inline  ::capnp::Void getConfigurationRequest();
+  inline void setConfigurationRequest( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isConfiguration();
+  inline bool hasConfiguration();
+  inline  ::nutmegloom::wire::RelayMessage::Configuration::Builder getConfiguration();
+  inline void setConfiguration( ::nutmegloom::wire::RelayMessage::Configuration::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::Configuration::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Configuration>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Configuration> disownConfiguration();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -265,23 +324,332 @@
 public:
   typedef RelayMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayMessage::Configuration::Reader {
+public:
+  typedef Configuration Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasRoutes() const;
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+  inline  ::int64_t getTransactionIdleTimeout() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayMessage::Configuration::Builder {
+public:
+  typedef Configuration Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasRoutes();
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Builder getRoutes();
+  inline void setRoutes( ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>> disownRoutes();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>> disownGroups();
+
+  inline  ::int64_t getTransactionIdleTimeout();
+  inline void setTransactionIdleTimeout( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayMessage::Configuration::Pipeline {
+public:
+  typedef Configuration Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayMessage::Route::Reader {
+public:
+  typedef Route Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase() const;
+  inline  ::capnp::Text::Reader getDatabase() const;
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint8_t getMode() const;
+
+  inline  ::int64_t getStatementTimeout() const;
+
+  inline  ::int64_t getTargetLatency() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::int64_t getMaximumAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayMessage::Route::Builder {
+public:
+  typedef Route Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase();
+  inline  ::capnp::Text::Builder getDatabase();
+  inline void setDatabase( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
+  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint8_t getMode();
+  inline void setMode( ::uint8_t value);
+
+  inline  ::int64_t getStatementTimeout();
+  inline void setStatementTimeout( ::int64_t value);
+
+  inline  ::int64_t getTargetLatency();
+  inline void setTargetLatency( ::int64_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::int64_t getMaximumAge();
+  inline void setMaximumAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayMessage::Route::Pipeline {
+public:
+  typedef Route Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayMessage::Group::Reader {
+public:
+  typedef Group Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint32_t getConnectionCap() const;
+
+  inline  ::uint32_t getSynchronousReplicas() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayMessage::Group::Builder {
+public:
+  typedef Group Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint32_t getConnectionCap();
+  inline void setConnectionCap( ::uint32_t value);
+
+  inline  ::uint32_t getSynchronousReplicas();
+  inline void setSynchronousReplicas( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayMessage::Group::Pipeline {
+public:
+  typedef Group Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class RelayMessage::Pong::Reader {
 public:
   typedef Pong Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -291,17 +659,20 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getConfigurationVersion() const;
+  inline  ::uint64_t getConfigurationVersion() const;
 
   inline bool getLeaving() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -310,31 +681,31 @@
 public:
   typedef Pong Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getConfigurationVersion();
-  inline void setConfigurationVersion(::uint64_t value);
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
 
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -342,23 +713,24 @@
 public:
   typedef Pong Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class RelayMessage::Value::Reader {
 public:
   typedef Value Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -368,19 +740,22 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline ::capnp::Text::Reader getName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
   inline bool hasText() const;
-  inline ::capnp::Text::Reader getText() const;
+  inline  ::capnp::Text::Reader getText() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -389,39 +764,39 @@
 public:
   typedef Value Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline ::capnp::Text::Builder getName();
-  inline void setName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
   inline bool hasText();
-  inline ::capnp::Text::Builder getText();
-  inline void setText(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -429,23 +804,24 @@
 public:
   typedef Value Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class RelayMessage::LogPosition::Reader {
 public:
   typedef LogPosition Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -455,17 +831,20 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
-  inline ::uint64_t getIndex() const;
+  inline  ::uint64_t getIndex() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -474,31 +853,31 @@
 public:
   typedef LogPosition Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
-  inline ::uint64_t getIndex();
-  inline void setIndex(::uint64_t value);
+  inline  ::uint64_t getIndex();
+  inline void setIndex( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -506,23 +885,24 @@
 public:
   typedef LogPosition Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class RelayMessage::Work::Reader {
 public:
   typedef Work Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -532,33 +912,31 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSession() const;
+  inline  ::uint64_t getSession() const;
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasGroup() const;
-  inline ::capnp::Text::Reader getGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
   inline bool hasId() const;
-  inline ::capnp::Text::Reader getId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
   inline bool hasText() const;
-  inline ::capnp::Text::Reader getText() const;
+  inline  ::capnp::Text::Reader getText() const;
 
   inline bool hasPreparedName() const;
-  inline ::capnp::Text::Reader getPreparedName() const;
+  inline  ::capnp::Text::Reader getPreparedName() const;
 
   inline bool hasPreparedShape() const;
-  inline ::capnp::Text::Reader getPreparedShape() const;
+  inline  ::capnp::Text::Reader getPreparedShape() const;
 
   inline bool getPreparedWrites() const;
 
   inline bool hasValues() const;
-  inline ::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                       ::capnp::Kind::STRUCT>::Reader
-  getValues() const;
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Reader getValues() const;
 
   inline bool getNeedsLeader() const;
 
@@ -566,27 +944,29 @@
 
   inline bool getRepeatable() const;
 
-  inline ::int64_t getMaximumAge() const;
+  inline  ::int64_t getMaximumAge() const;
 
   inline bool hasOwnWrite() const;
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Reader
-  getOwnWrite() const;
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Reader getOwnWrite() const;
 
-  inline ::uint8_t getOpens() const;
+  inline  ::uint8_t getOpens() const;
 
   inline bool getEndsTransaction() const;
 
   inline bool getInOpenTransaction() const;
 
-  inline ::uint32_t getPriority() const;
+  inline  ::uint32_t getPriority() const;
 
-  inline ::int64_t getTimeLeft() const;
+  inline  ::int64_t getTimeLeft() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -595,79 +975,68 @@
 public:
   typedef Work Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSession();
-  inline void setSession(::uint64_t value);
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasGroup();
-  inline ::capnp::Text::Builder getGroup();
-  inline void setGroup(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
   inline bool hasId();
-  inline ::capnp::Text::Builder getId();
-  inline void setId(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
   inline bool hasText();
-  inline ::capnp::Text::Builder getText();
-  inline void setText(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
 
   inline bool hasPreparedName();
-  inline ::capnp::Text::Builder getPreparedName();
-  inline void setPreparedName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPreparedName(unsigned int size);
-  inline void adoptPreparedName(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownPreparedName();
+  inline  ::capnp::Text::Builder getPreparedName();
+  inline void setPreparedName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreparedName(unsigned int size);
+  inline void adoptPreparedName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreparedName();
 
   inline bool hasPreparedShape();
-  inline ::capnp::Text::Builder getPreparedShape();
-  inline void setPreparedShape(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPreparedShape(unsigned int size);
-  inline void adoptPreparedShape(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownPreparedShape();
+  inline  ::capnp::Text::Builder getPreparedShape();
+  inline void setPreparedShape( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreparedShape(unsigned int size);
+  inline void adoptPreparedShape(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreparedShape();
 
   inline bool getPreparedWrites();
   inline void setPreparedWrites(bool value);
 
   inline bool hasValues();
-  inline ::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                       ::capnp::Kind::STRUCT>::Builder
-  getValues();
-  inline void setValues(::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                       ::capnp::Kind::STRUCT>::Builder
-  initValues(unsigned int size);
-  inline void adoptValues(
-      ::capnp::Orphan<::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                                    ::capnp::Kind::STRUCT>> &&value);
-  inline ::capnp::Orphan<::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                                       ::capnp::Kind::STRUCT>>
-  disownValues();
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Builder getValues();
+  inline void setValues( ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Builder initValues(unsigned int size);
+  inline void adoptValues(::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>> disownValues();
 
   inline bool getNeedsLeader();
   inline void setNeedsLeader(bool value);
@@ -678,21 +1047,18 @@
   inline bool getRepeatable();
   inline void setRepeatable(bool value);
 
-  inline ::int64_t getMaximumAge();
-  inline void setMaximumAge(::int64_t value);
+  inline  ::int64_t getMaximumAge();
+  inline void setMaximumAge( ::int64_t value);
 
   inline bool hasOwnWrite();
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder getOwnWrite();
-  inline void
-  setOwnWrite(::nutmegloom::wire::RelayMessage::LogPosition::Reader value);
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder initOwnWrite();
-  inline void adoptOwnWrite(
-      ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition> &&value);
-  inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition>
-  disownOwnWrite();
-
-  inline ::uint8_t getOpens();
-  inline void setOpens(::uint8_t value);
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder getOwnWrite();
+  inline void setOwnWrite( ::nutmegloom::wire::RelayMessage::LogPosition::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder initOwnWrite();
+  inline void adoptOwnWrite(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition> disownOwnWrite();
+
+  inline  ::uint8_t getOpens();
+  inline void setOpens( ::uint8_t value);
 
   inline bool getEndsTransaction();
   inline void setEndsTransaction(bool value);
@@ -700,17 +1066,19 @@
   inline bool getInOpenTransaction();
   inline void setInOpenTransaction(bool value);
 
-  inline ::uint32_t getPriority();
-  inline void setPriority(::uint32_t value);
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
 
-  inline ::int64_t getTimeLeft();
-  inline void setTimeLeft(::int64_t value);
+  inline  ::int64_t getTimeLeft();
+  inline void setTimeLeft( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -718,25 +1086,25 @@
 public:
   typedef Work Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline getOwnWrite();
-
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline getOwnWrite();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class RelayMessage::Result::Reader {
 public:
   typedef Result Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -746,50 +1114,52 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSession() const;
+  inline  ::uint64_t getSession() const;
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::uint8_t getCode() const;
+  inline  ::uint8_t getCode() const;
 
   inline bool hasRows() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getRows() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRows() const;
 
   inline bool hasSignature() const;
-  inline ::capnp::Text::Reader getSignature() const;
+  inline  ::capnp::Text::Reader getSignature() const;
 
   inline bool hasDetail() const;
-  inline ::capnp::Text::Reader getDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
 
-  inline ::uint8_t getState() const;
+  inline  ::uint8_t getState() const;
 
   inline bool hasLog() const;
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Reader getLog() const;
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Reader getLog() const;
 
   inline bool hasDatabase() const;
-  inline ::capnp::Text::Reader getDatabase() const;
+  inline  ::capnp::Text::Reader getDatabase() const;
 
   inline bool getInTransaction() const;
 
   inline bool getOwnWriteLost() const;
 
-  inline ::int64_t getRetryAfter() const;
+  inline  ::int64_t getRetryAfter() const;
 
   inline bool hasFloor() const;
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Reader getFloor() const;
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Reader getFloor() const;
 
-  inline ::int64_t getLeadershipAge() const;
+  inline  ::int64_t getLeadershipAge() const;
 
-  inline ::uint32_t getAttempts() const;
+  inline  ::uint32_t getAttempts() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -798,75 +1168,65 @@
 public:
   typedef Result Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSession();
-  inline void setSession(::uint64_t value);
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::uint8_t getCode();
-  inline void setCode(::uint8_t value);
+  inline  ::uint8_t getCode();
+  inline void setCode( ::uint8_t value);
 
   inline bool hasRows();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getRows();
-  inline void
-  setRows(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setRows(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initRows(unsigned int size);
-  inline void
-  adoptRows(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-                &&value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownRows();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRows();
+  inline void setRows( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRows(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRows();
 
   inline bool hasSignature();
-  inline ::capnp::Text::Builder getSignature();
-  inline void setSignature(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initSignature(unsigned int size);
-  inline void adoptSignature(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownSignature();
+  inline  ::capnp::Text::Builder getSignature();
+  inline void setSignature( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSignature(unsigned int size);
+  inline void adoptSignature(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSignature();
 
   inline bool hasDetail();
-  inline ::capnp::Text::Builder getDetail();
-  inline void setDetail(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDetail(unsigned int size);
-  inline void adoptDetail(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
 
-  inline ::uint8_t getState();
-  inline void setState(::uint8_t value);
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
 
   inline bool hasLog();
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder getLog();
-  inline void
-  setLog(::nutmegloom::wire::RelayMessage::LogPosition::Reader value);
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder initLog();
-  inline void adoptLog(
-      ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition> &&value);
-  inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition>
-  disownLog();
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder getLog();
+  inline void setLog( ::nutmegloom::wire::RelayMessage::LogPosition::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder initLog();
+  inline void adoptLog(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition> disownLog();
 
   inline bool hasDatabase();
-  inline ::capnp::Text::Builder getDatabase();
-  inline void setDatabase(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDatabase(unsigned int size);
-  inline void adoptDatabase(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownDatabase();
+  inline  ::capnp::Text::Builder getDatabase();
+  inline void setDatabase( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
+  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
 
   inline bool getInTransaction();
   inline void setInTransaction(bool value);
@@ -874,30 +1234,29 @@
   inline bool getOwnWriteLost();
   inline void setOwnWriteLost(bool value);
 
-  inline ::int64_t getRetryAfter();
-  inline void setRetryAfter(::int64_t value);
+  inline  ::int64_t getRetryAfter();
+  inline void setRetryAfter( ::int64_t value);
 
   inline bool hasFloor();
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder getFloor();
-  inline void
-  setFloor(::nutmegloom::wire::RelayMessage::LogPosition::Reader value);
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder initFloor();
-  inline void adoptFloor(
-      ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition> &&value);
-  inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition>
-  disownFloor();
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder getFloor();
+  inline void setFloor( ::nutmegloom::wire::RelayMessage::LogPosition::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder initFloor();
+  inline void adoptFloor(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition> disownFloor();
 
-  inline ::int64_t getLeadershipAge();
-  inline void setLeadershipAge(::int64_t value);
+  inline  ::int64_t getLeadershipAge();
+  inline void setLeadershipAge( ::int64_t value);
 
-  inline ::uint32_t getAttempts();
-  inline void setAttempts(::uint32_t value);
+  inline  ::uint32_t getAttempts();
+  inline void setAttempts( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -905,29 +1264,29 @@
 public:
   typedef Result Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline getLog();
-  inline ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline getFloor();
-
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline getLog();
+  inline  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline getFloor();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline ::nutmegloom::wire::RelayMessage::Which
-RelayMessage::Reader::which() const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::nutmegloom::wire::RelayMessage::Which RelayMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::nutmegloom::wire::RelayMessage::Which RelayMessage::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() *
-                                      ::capnp::ELEMENTS);
+inline  ::nutmegloom::wire::RelayMessage::Which RelayMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Reader::isWork() const {
@@ -937,61 +1296,51 @@
   return which() == RelayMessage::WORK;
 }
 inline bool RelayMessage::Reader::hasWork() const {
-  if (which() != RelayMessage::WORK)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != RelayMessage::WORK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Builder::hasWork() {
-  if (which() != RelayMessage::WORK)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != RelayMessage::WORK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::nutmegloom::wire::RelayMessage::Work::Reader
-RelayMessage::Reader::getWork() const {
+inline  ::nutmegloom::wire::RelayMessage::Work::Reader RelayMessage::Reader::getWork() const {
   KJ_IREQUIRE((which() == RelayMessage::WORK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Work>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Work>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::nutmegloom::wire::RelayMessage::Work::Builder
-RelayMessage::Builder::getWork() {
+inline  ::nutmegloom::wire::RelayMessage::Work::Builder RelayMessage::Builder::getWork() {
   KJ_IREQUIRE((which() == RelayMessage::WORK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Work>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Work>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Builder::setWork(
-    ::nutmegloom::wire::RelayMessage::Work::Reader value) {
+inline void RelayMessage::Builder::setWork( ::nutmegloom::wire::RelayMessage::Work::Reader value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::WORK);
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Work>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Work>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::nutmegloom::wire::RelayMessage::Work::Builder
-RelayMessage::Builder::initWork() {
+inline  ::nutmegloom::wire::RelayMessage::Work::Builder RelayMessage::Builder::initWork() {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::WORK);
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Work>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Work>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RelayMessage::Builder::adoptWork(
-    ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Work> &&value) {
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Work>&& value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::WORK);
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Work>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Work>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Work>
-RelayMessage::Builder::disownWork() {
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Work> RelayMessage::Builder::disownWork() {
   KJ_IREQUIRE((which() == RelayMessage::WORK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Work>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Work>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Reader::isEnd() const {
@@ -1000,24 +1349,24 @@
 inline bool RelayMessage::Builder::isEnd() {
   return which() == RelayMessage::END;
 }
-inline ::uint64_t RelayMessage::Reader::getEnd() const {
+inline  ::uint64_t RelayMessage::Reader::getEnd() const {
   KJ_IREQUIRE((which() == RelayMessage::END),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::Builder::getEnd() {
+inline  ::uint64_t RelayMessage::Builder::getEnd() {
   KJ_IREQUIRE((which() == RelayMessage::END),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Builder::setEnd(::uint64_t value) {
+inline void RelayMessage::Builder::setEnd( ::uint64_t value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::END);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Reader::isResult() const {
@@ -1027,61 +1376,51 @@
   return which() == RelayMessage::RESULT;
 }
 inline bool RelayMessage::Reader::hasResult() const {
-  if (which() != RelayMessage::RESULT)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != RelayMessage::RESULT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Builder::hasResult() {
-  if (which() != RelayMessage::RESULT)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != RelayMessage::RESULT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::nutmegloom::wire::RelayMessage::Result::Reader
-RelayMessage::Reader::getResult() const {
+inline  ::nutmegloom::wire::RelayMessage::Result::Reader RelayMessage::Reader::getResult() const {
   KJ_IREQUIRE((which() == RelayMessage::RESULT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Result>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Result>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::nutmegloom::wire::RelayMessage::Result::Builder
-RelayMessage::Builder::getResult() {
+inline  ::nutmegloom::wire::RelayMessage::Result::Builder RelayMessage::Builder::getResult() {
   KJ_IREQUIRE((which() == RelayMessage::RESULT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Result>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Result>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Builder::setResult(
-    ::nutmegloom::wire::RelayMessage::Result::Reader value) {
+inline void RelayMessage::Builder::setResult( ::nutmegloom::wire::RelayMessage::Result::Reader value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::RESULT);
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Result>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Result>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::nutmegloom::wire::RelayMessage::Result::Builder
-RelayMessage::Builder::initResult() {
+inline  ::nutmegloom::wire::RelayMessage::Result::Builder RelayMessage::Builder::initResult() {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::RESULT);
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Result>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Result>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RelayMessage::Builder::adoptResult(
-    ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Result> &&value) {
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Result>&& value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::RESULT);
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Result>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Result>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Result>
-RelayMessage::Builder::disownResult() {
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Result> RelayMessage::Builder::disownResult() {
   KJ_IREQUIRE((which() == RelayMessage::RESULT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Result>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Result>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Reader::isLoss() const {
@@ -1090,24 +1429,24 @@
 inline bool RelayMessage::Builder::isLoss() {
   return which() == RelayMessage::LOSS;
 }
-inline ::uint64_t RelayMessage::Reader::getLoss() const {
+inline  ::uint64_t RelayMessage::Reader::getLoss() const {
   KJ_IREQUIRE((which() == RelayMessage::LOSS),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::Builder::getLoss() {
+inline  ::uint64_t RelayMessage::Builder::getLoss() {
   KJ_IREQUIRE((which() == RelayMessage::LOSS),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Builder::setLoss(::uint64_t value) {
+inline void RelayMessage::Builder::setLoss( ::uint64_t value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::LOSS);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Reader::isPing() const {
@@ -1116,23 +1455,23 @@
 inline bool RelayMessage::Builder::isPing() {
   return which() == RelayMessage::PING;
 }
-inline ::capnp::Void RelayMessage::Reader::getPing() const {
+inline  ::capnp::Void RelayMessage::Reader::getPing() const {
   KJ_IREQUIRE((which() == RelayMessage::PING),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                             ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void RelayMessage::Builder::getPing() {
+inline  ::capnp::Void RelayMessage::Builder::getPing() {
   KJ_IREQUIRE((which() == RelayMessage::PING),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                              ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Builder::setPing(::capnp::Void value) {
+inline void RelayMessage::Builder::setPing( ::capnp::Void value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::PING);
-  _builder.setDataField<::capnp::Void>(
+  _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
@@ -1143,1078 +1482,1310 @@
   return which() == RelayMessage::PONG;
 }
 inline bool RelayMessage::Reader::hasPong() const {
-  if (which() != RelayMessage::PONG)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != RelayMessage::PONG) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Builder::hasPong() {
-  if (which() != RelayMessage::PONG)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != RelayMessage::PONG) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::nutmegloom::wire::RelayMessage::Pong::Reader
-RelayMessage::Reader::getPong() const {
+inline  ::nutmegloom::wire::RelayMessage::Pong::Reader RelayMessage::Reader::getPong() const {
   KJ_IREQUIRE((which() == RelayMessage::PONG),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Pong>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Pong>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::nutmegloom::wire::RelayMessage::Pong::Builder
-RelayMessage::Builder::getPong() {
+inline  ::nutmegloom::wire::RelayMessage::Pong::Builder RelayMessage::Builder::getPong() {
   KJ_IREQUIRE((which() == RelayMessage::PONG),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Pong>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Pong>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Builder::setPong(
-    ::nutmegloom::wire::RelayMessage::Pong::Reader value) {
+inline void RelayMessage::Builder::setPong( ::nutmegloom::wire::RelayMessage::Pong::Reader value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::PONG);
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Pong>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Pong>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::nutmegloom::wire::RelayMessage::Pong::Builder
-RelayMessage::Builder::initPong() {
+inline  ::nutmegloom::wire::RelayMessage::Pong::Builder RelayMessage::Builder::initPong() {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::PONG);
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Pong>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Pong>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RelayMessage::Builder::adoptPong(
-    ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Pong> &&value) {
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Pong>&& value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::PONG);
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Pong>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Pong>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::Pong>
-RelayMessage::Builder::disownPong() {
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Pong> RelayMessage::Builder::disownPong() {
   KJ_IREQUIRE((which() == RelayMessage::PONG),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::Pong>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Pong>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Reader::isConfigurationRequest() const {
+  return which() == RelayMessage::CONFIGURATION_REQUEST;
+}
+inline bool RelayMessage::Builder::isConfigurationRequest() {
+  return which() == RelayMessage::CONFIGURATION_REQUEST;
+}
+inline  ::capnp::Void RelayMessage::Reader::getConfigurationRequest() const {
+  KJ_IREQUIRE((which() == RelayMessage::CONFIGURATION_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void RelayMessage::Builder::getConfigurationRequest() {
+  KJ_IREQUIRE((which() == RelayMessage::CONFIGURATION_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Builder::setConfigurationRequest( ::capnp::Void value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::CONFIGURATION_REQUEST);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayMessage::Reader::isConfiguration() const {
+  return which() == RelayMessage::CONFIGURATION;
+}
+inline bool RelayMessage::Builder::isConfiguration() {
+  return which() == RelayMessage::CONFIGURATION;
+}
+inline bool RelayMessage::Reader::hasConfiguration() const {
+  if (which() != RelayMessage::CONFIGURATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Builder::hasConfiguration() {
+  if (which() != RelayMessage::CONFIGURATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmegloom::wire::RelayMessage::Configuration::Reader RelayMessage::Reader::getConfiguration() const {
+  KJ_IREQUIRE((which() == RelayMessage::CONFIGURATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Configuration>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::nutmegloom::wire::RelayMessage::Configuration::Builder RelayMessage::Builder::getConfiguration() {
+  KJ_IREQUIRE((which() == RelayMessage::CONFIGURATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Configuration>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Builder::setConfiguration( ::nutmegloom::wire::RelayMessage::Configuration::Reader value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::CONFIGURATION);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Configuration>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmegloom::wire::RelayMessage::Configuration::Builder RelayMessage::Builder::initConfiguration() {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::CONFIGURATION);
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Configuration>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Configuration>&& value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::CONFIGURATION);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Configuration>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Configuration> RelayMessage::Builder::disownConfiguration() {
+  KJ_IREQUIRE((which() == RelayMessage::CONFIGURATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Configuration>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayMessage::Configuration::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayMessage::Configuration::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Configuration::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayMessage::Configuration::Reader::hasRoutes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Configuration::Builder::hasRoutes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Reader RelayMessage::Configuration::Reader::getRoutes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Configuration::Builder::getRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Configuration::Builder::setRoutes( ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Configuration::Builder::initRoutes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Configuration::Builder::adoptRoutes(
+    ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>> RelayMessage::Configuration::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Route,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Configuration::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Configuration::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Reader RelayMessage::Configuration::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Configuration::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Configuration::Builder::setGroups( ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Configuration::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Configuration::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>> RelayMessage::Configuration::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Group,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RelayMessage::Configuration::Reader::getTransactionIdleTimeout() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RelayMessage::Configuration::Builder::getTransactionIdleTimeout() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Configuration::Builder::setTransactionIdleTimeout( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayMessage::Route::Reader::hasDatabase() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Route::Builder::hasDatabase() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Route::Reader::getDatabase() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Route::Builder::getDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Route::Builder::setDatabase( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Route::Builder::initDatabase(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Route::Builder::adoptDatabase(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Route::Builder::disownDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Route::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Route::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Route::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Route::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Route::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Route::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Route::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Route::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t RelayMessage::Route::Reader::getMode() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RelayMessage::Route::Builder::getMode() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Route::Builder::setMode( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RelayMessage::Route::Reader::getStatementTimeout() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RelayMessage::Route::Builder::getStatementTimeout() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Route::Builder::setStatementTimeout( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RelayMessage::Route::Reader::getTargetLatency() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RelayMessage::Route::Builder::getTargetLatency() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Route::Builder::setTargetLatency( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RelayMessage::Route::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelayMessage::Route::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Route::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RelayMessage::Route::Reader::getMaximumAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RelayMessage::Route::Builder::getMaximumAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Route::Builder::setMaximumAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayMessage::Group::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Group::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Group::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Group::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Group::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Group::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Group::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Group::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RelayMessage::Group::Reader::getConnectionCap() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelayMessage::Group::Builder::getConnectionCap() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Group::Builder::setConnectionCap( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RelayMessage::Pong::Reader::getConfigurationVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t RelayMessage::Group::Reader::getSynchronousReplicas() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::Pong::Builder::getConfigurationVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t RelayMessage::Group::Builder::getSynchronousReplicas() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Group::Builder::setSynchronousReplicas( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void
-RelayMessage::Pong::Builder::setConfigurationVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+
+inline  ::uint64_t RelayMessage::Pong::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayMessage::Pong::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Pong::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Pong::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Pong::Builder::getLeaving() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Pong::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Value::Reader::hasName() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Value::Builder::hasName() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RelayMessage::Value::Reader::getName() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RelayMessage::Value::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RelayMessage::Value::Builder::getName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayMessage::Value::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Value::Builder::setName(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void RelayMessage::Value::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-RelayMessage::Value::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder RelayMessage::Value::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Value::Builder::adoptName(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Value::Builder::disownName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Value::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Value::Reader::hasText() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Value::Builder::hasText() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RelayMessage::Value::Reader::getText() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RelayMessage::Value::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RelayMessage::Value::Builder::getText() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayMessage::Value::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Value::Builder::setText(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void RelayMessage::Value::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-RelayMessage::Value::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder RelayMessage::Value::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Value::Builder::adoptText(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Value::Builder::disownText() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Value::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t RelayMessage::LogPosition::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::LogPosition::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::LogPosition::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::LogPosition::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::LogPosition::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::LogPosition::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RelayMessage::LogPosition::Reader::getIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::LogPosition::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::LogPosition::Builder::getIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::LogPosition::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::LogPosition::Builder::setIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::LogPosition::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RelayMessage::Work::Reader::getSession() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Work::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::Work::Builder::getSession() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Work::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Work::Builder::setSession(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::Work::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RelayMessage::Work::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Work::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::Work::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Work::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Work::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::Work::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Work::Reader::hasGroup() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Work::Builder::hasGroup() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RelayMessage::Work::Reader::getGroup() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RelayMessage::Work::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RelayMessage::Work::Builder::getGroup() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Work::Builder::setGroup(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void RelayMessage::Work::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-RelayMessage::Work::Builder::initGroup(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Work::Builder::adoptGroup(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Work::Builder::disownGroup() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Work::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Work::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Work::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RelayMessage::Work::Reader::getId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RelayMessage::Work::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RelayMessage::Work::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Work::Builder::setId(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void RelayMessage::Work::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-RelayMessage::Work::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void
-RelayMessage::Work::Builder::adoptId(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void RelayMessage::Work::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> RelayMessage::Work::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Work::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Work::Reader::hasText() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Work::Builder::hasText() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RelayMessage::Work::Reader::getText() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RelayMessage::Work::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RelayMessage::Work::Builder::getText() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Work::Builder::setText(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void RelayMessage::Work::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-RelayMessage::Work::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void
-RelayMessage::Work::Builder::adoptText(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void RelayMessage::Work::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Work::Builder::disownText() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Work::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Work::Reader::hasPreparedName() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Work::Builder::hasPreparedName() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::Text::Reader
-RelayMessage::Work::Reader::getPreparedName() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder RelayMessage::Work::Builder::getPreparedName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void
-RelayMessage::Work::Builder::setPreparedName(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
-}
-inline ::capnp::Text::Builder
-RelayMessage::Work::Builder::initPreparedName(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Work::Reader::getPreparedName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::getPreparedName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Work::Builder::setPreparedName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::initPreparedName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Work::Builder::adoptPreparedName(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Work::Builder::disownPreparedName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Work::Builder::disownPreparedName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Work::Reader::hasPreparedShape() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Work::Builder::hasPreparedShape() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::Text::Reader
-RelayMessage::Work::Reader::getPreparedShape() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder RelayMessage::Work::Builder::getPreparedShape() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void
-RelayMessage::Work::Builder::setPreparedShape(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
-}
-inline ::capnp::Text::Builder
-RelayMessage::Work::Builder::initPreparedShape(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Work::Reader::getPreparedShape() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::getPreparedShape() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Work::Builder::setPreparedShape( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::initPreparedShape(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Work::Builder::adoptPreparedShape(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Work::Builder::disownPreparedShape() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Work::Builder::disownPreparedShape() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Work::Reader::getPreparedWrites() const {
-  return _reader.getDataField<bool>(::capnp::bounded<128>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Work::Builder::getPreparedWrites() {
-  return _builder.getDataField<bool>(::capnp::bounded<128>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Work::Builder::setPreparedWrites(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Work::Reader::hasValues() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Work::Builder::hasValues() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                     ::capnp::Kind::STRUCT>::Reader
-RelayMessage::Work::Reader::getValues() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::nutmegloom::wire::RelayMessage::Value, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                     ::capnp::Kind::STRUCT>::Builder
-RelayMessage::Work::Builder::getValues() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::nutmegloom::wire::RelayMessage::Value, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void RelayMessage::Work::Builder::setValues(
-    ::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::nutmegloom::wire::RelayMessage::Value, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                     ::capnp::Kind::STRUCT>::Builder
-RelayMessage::Work::Builder::initValues(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::nutmegloom::wire::RelayMessage::Value, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Reader RelayMessage::Work::Reader::getValues() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Work::Builder::getValues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Work::Builder::setValues( ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Work::Builder::initValues(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Work::Builder::adoptValues(
-    ::capnp::Orphan<::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                                  ::capnp::Kind::STRUCT>> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::nutmegloom::wire::RelayMessage::Value, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::nutmegloom::wire::RelayMessage::Value,
-                                     ::capnp::Kind::STRUCT>>
-RelayMessage::Work::Builder::disownValues() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::nutmegloom::wire::RelayMessage::Value, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>> RelayMessage::Work::Builder::disownValues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Value,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Work::Reader::getNeedsLeader() const {
-  return _reader.getDataField<bool>(::capnp::bounded<129>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Work::Builder::getNeedsLeader() {
-  return _builder.getDataField<bool>(::capnp::bounded<129>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Work::Builder::setNeedsLeader(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Work::Reader::getWrites() const {
-  return _reader.getDataField<bool>(::capnp::bounded<130>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Work::Builder::getWrites() {
-  return _builder.getDataField<bool>(::capnp::bounded<130>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Work::Builder::setWrites(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<130>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Work::Reader::getRepeatable() const {
-  return _reader.getDataField<bool>(::capnp::bounded<131>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Work::Builder::getRepeatable() {
-  return _builder.getDataField<bool>(::capnp::bounded<131>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Work::Builder::setRepeatable(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<131>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t RelayMessage::Work::Reader::getMaximumAge() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t RelayMessage::Work::Reader::getMaximumAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t RelayMessage::Work::Builder::getMaximumAge() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t RelayMessage::Work::Builder::getMaximumAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Work::Builder::setMaximumAge(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void RelayMessage::Work::Builder::setMaximumAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Work::Reader::hasOwnWrite() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Work::Builder::hasOwnWrite() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Reader
-RelayMessage::Work::Reader::getOwnWrite() const {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::get(
-          _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Reader RelayMessage::Work::Reader::getOwnWrite() const {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder
-RelayMessage::Work::Builder::getOwnWrite() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::get(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder RelayMessage::Work::Builder::getOwnWrite() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline
-RelayMessage::Work::Pipeline::getOwnWrite() {
-  return ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline(
-      _typeless.getPointerField(6));
-}
-#endif // !CAPNP_LITE
-inline void RelayMessage::Work::Builder::setOwnWrite(
-    ::nutmegloom::wire::RelayMessage::LogPosition::Reader value) {
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::
-      set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-          value);
-}
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder
-RelayMessage::Work::Builder::initOwnWrite() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::init(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline RelayMessage::Work::Pipeline::getOwnWrite() {
+  return  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void RelayMessage::Work::Builder::setOwnWrite( ::nutmegloom::wire::RelayMessage::LogPosition::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder RelayMessage::Work::Builder::initOwnWrite() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 inline void RelayMessage::Work::Builder::adoptOwnWrite(
-    ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition> &&value) {
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::
-      adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition>
-RelayMessage::Work::Builder::disownOwnWrite() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::disown(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition> RelayMessage::Work::Builder::disownOwnWrite() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t RelayMessage::Work::Reader::getOpens() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<17>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t RelayMessage::Work::Reader::getOpens() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t RelayMessage::Work::Builder::getOpens() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<17>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t RelayMessage::Work::Builder::getOpens() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Work::Builder::setOpens(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<17>() * ::capnp::ELEMENTS,
-                                   value);
+inline void RelayMessage::Work::Builder::setOpens( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Work::Reader::getEndsTransaction() const {
-  return _reader.getDataField<bool>(::capnp::bounded<132>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Work::Builder::getEndsTransaction() {
-  return _builder.getDataField<bool>(::capnp::bounded<132>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Work::Builder::setEndsTransaction(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<132>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Work::Reader::getInOpenTransaction() const {
-  return _reader.getDataField<bool>(::capnp::bounded<133>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Work::Builder::getInOpenTransaction() {
-  return _builder.getDataField<bool>(::capnp::bounded<133>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Work::Builder::setInOpenTransaction(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<133>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t RelayMessage::Work::Reader::getPriority() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t RelayMessage::Work::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t RelayMessage::Work::Builder::getPriority() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t RelayMessage::Work::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Work::Builder::setPriority(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::Work::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t RelayMessage::Work::Reader::getTimeLeft() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t RelayMessage::Work::Reader::getTimeLeft() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t RelayMessage::Work::Builder::getTimeLeft() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t RelayMessage::Work::Builder::getTimeLeft() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Work::Builder::setTimeLeft(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                   value);
+inline void RelayMessage::Work::Builder::setTimeLeft( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RelayMessage::Result::Reader::getSession() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Result::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::Result::Builder::getSession() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Result::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Result::Builder::setSession(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::Result::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RelayMessage::Result::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Result::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RelayMessage::Result::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t RelayMessage::Result::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Result::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::Result::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t RelayMessage::Result::Reader::getCode() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<16>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t RelayMessage::Result::Reader::getCode() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t RelayMessage::Result::Builder::getCode() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<16>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t RelayMessage::Result::Builder::getCode() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Result::Builder::setCode(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS,
-                                   value);
+inline void RelayMessage::Result::Builder::setCode( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Result::Reader::hasRows() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Result::Builder::hasRows() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-RelayMessage::Result::Reader::getRows() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-RelayMessage::Result::Builder::getRows() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RelayMessage::Result::Builder::setRows(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline void RelayMessage::Result::Builder::setRows(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-RelayMessage::Result::Builder::initRows(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RelayMessage::Result::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RelayMessage::Result::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Result::Builder::setRows( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void RelayMessage::Result::Builder::setRows(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RelayMessage::Result::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Result::Builder::adoptRows(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-        &&value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-RelayMessage::Result::Builder::disownRows() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RelayMessage::Result::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Result::Reader::hasSignature() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Result::Builder::hasSignature() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::Text::Reader
-RelayMessage::Result::Reader::getSignature() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder RelayMessage::Result::Builder::getSignature() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void
-RelayMessage::Result::Builder::setSignature(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
-}
-inline ::capnp::Text::Builder
-RelayMessage::Result::Builder::initSignature(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Result::Reader::getSignature() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Result::Builder::getSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Result::Builder::setSignature( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Result::Builder::initSignature(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Result::Builder::adoptSignature(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Result::Builder::disownSignature() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Result::Builder::disownSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Result::Reader::hasDetail() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Result::Builder::hasDetail() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RelayMessage::Result::Reader::getDetail() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RelayMessage::Result::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RelayMessage::Result::Builder::getDetail() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayMessage::Result::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void
-RelayMessage::Result::Builder::setDetail(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void RelayMessage::Result::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-RelayMessage::Result::Builder::initDetail(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder RelayMessage::Result::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Result::Builder::adoptDetail(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Result::Builder::disownDetail() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Result::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t RelayMessage::Result::Reader::getState() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<17>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t RelayMessage::Result::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t RelayMessage::Result::Builder::getState() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<17>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t RelayMessage::Result::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Result::Builder::setState(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<17>() * ::capnp::ELEMENTS,
-                                   value);
+inline void RelayMessage::Result::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Result::Reader::hasLog() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Result::Builder::hasLog() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Reader
-RelayMessage::Result::Reader::getLog() const {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::get(
-          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Reader RelayMessage::Result::Reader::getLog() const {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder
-RelayMessage::Result::Builder::getLog() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::get(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder RelayMessage::Result::Builder::getLog() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline
-RelayMessage::Result::Pipeline::getLog() {
-  return ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline(
-      _typeless.getPointerField(3));
-}
-#endif // !CAPNP_LITE
-inline void RelayMessage::Result::Builder::setLog(
-    ::nutmegloom::wire::RelayMessage::LogPosition::Reader value) {
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::
-      set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          value);
-}
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder
-RelayMessage::Result::Builder::initLog() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::init(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline RelayMessage::Result::Pipeline::getLog() {
+  return  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void RelayMessage::Result::Builder::setLog( ::nutmegloom::wire::RelayMessage::LogPosition::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder RelayMessage::Result::Builder::initLog() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void RelayMessage::Result::Builder::adoptLog(
-    ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition> &&value) {
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::
-      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition>
-RelayMessage::Result::Builder::disownLog() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::disown(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition> RelayMessage::Result::Builder::disownLog() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Result::Reader::hasDatabase() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Result::Builder::hasDatabase() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RelayMessage::Result::Reader::getDatabase() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RelayMessage::Result::Reader::getDatabase() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RelayMessage::Result::Builder::getDatabase() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayMessage::Result::Builder::getDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void
-RelayMessage::Result::Builder::setDatabase(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void RelayMessage::Result::Builder::setDatabase( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-RelayMessage::Result::Builder::initDatabase(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder RelayMessage::Result::Builder::initDatabase(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void RelayMessage::Result::Builder::adoptDatabase(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-RelayMessage::Result::Builder::disownDatabase() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Result::Builder::disownDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Result::Reader::getInTransaction() const {
-  return _reader.getDataField<bool>(::capnp::bounded<144>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Result::Builder::getInTransaction() {
-  return _builder.getDataField<bool>(::capnp::bounded<144>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Result::Builder::setInTransaction(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<144>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Result::Reader::getOwnWriteLost() const {
-  return _reader.getDataField<bool>(::capnp::bounded<145>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayMessage::Result::Builder::getOwnWriteLost() {
-  return _builder.getDataField<bool>(::capnp::bounded<145>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
 }
 inline void RelayMessage::Result::Builder::setOwnWriteLost(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<145>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t RelayMessage::Result::Reader::getRetryAfter() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t RelayMessage::Result::Reader::getRetryAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t RelayMessage::Result::Builder::getRetryAfter() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t RelayMessage::Result::Builder::getRetryAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Result::Builder::setRetryAfter(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void RelayMessage::Result::Builder::setRetryAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayMessage::Result::Reader::hasFloor() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayMessage::Result::Builder::hasFloor() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Reader
-RelayMessage::Result::Reader::getFloor() const {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::get(
-          _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Reader RelayMessage::Result::Reader::getFloor() const {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder
-RelayMessage::Result::Builder::getFloor() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::get(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder RelayMessage::Result::Builder::getFloor() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline
-RelayMessage::Result::Pipeline::getFloor() {
-  return ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline(
-      _typeless.getPointerField(5));
-}
-#endif // !CAPNP_LITE
-inline void RelayMessage::Result::Builder::setFloor(
-    ::nutmegloom::wire::RelayMessage::LogPosition::Reader value) {
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::
-      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          value);
-}
-inline ::nutmegloom::wire::RelayMessage::LogPosition::Builder
-RelayMessage::Result::Builder::initFloor() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::init(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline RelayMessage::Result::Pipeline::getFloor() {
+  return  ::nutmegloom::wire::RelayMessage::LogPosition::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void RelayMessage::Result::Builder::setFloor( ::nutmegloom::wire::RelayMessage::LogPosition::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmegloom::wire::RelayMessage::LogPosition::Builder RelayMessage::Result::Builder::initFloor() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void RelayMessage::Result::Builder::adoptFloor(
-    ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition> &&value) {
-  ::capnp::_::PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::
-      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::nutmegloom::wire::RelayMessage::LogPosition>
-RelayMessage::Result::Builder::disownFloor() {
-  return ::capnp::_::
-      PointerHelpers<::nutmegloom::wire::RelayMessage::LogPosition>::disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::LogPosition> RelayMessage::Result::Builder::disownFloor() {
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::LogPosition>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t RelayMessage::Result::Reader::getLeadershipAge() const {
-  return _reader.getDataField<::int64_t>(
+inline  ::int64_t RelayMessage::Result::Reader::getLeadershipAge() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
 }
 
-inline ::int64_t RelayMessage::Result::Builder::getLeadershipAge() {
-  return _builder.getDataField<::int64_t>(
+inline  ::int64_t RelayMessage::Result::Builder::getLeadershipAge() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
 }
-inline void RelayMessage::Result::Builder::setLeadershipAge(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                   value, -1ll);
+inline void RelayMessage::Result::Builder::setLeadershipAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
-inline ::uint32_t RelayMessage::Result::Reader::getAttempts() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t RelayMessage::Result::Reader::getAttempts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t RelayMessage::Result::Builder::getAttempts() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t RelayMessage::Result::Builder::getAttempts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RelayMessage::Result::Builder::setAttempts(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RelayMessage::Result::Builder::setAttempts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-} // namespace wire
-} // namespace nutmegloom
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/packages/protocol/relaycodec.cpp
+++ b/packages/protocol/relaycodec.cpp
@@ -169,6 +169,57 @@
   return Message;
 }
 
+void encodeConfiguration(Wire::Configuration::Builder To,
+                         const SessionConfiguration &From) {
+  To.setVersion(From.Version);
+  To.setTransactionIdleTimeout(From.TransactionIdleTimeout.count());
+  auto Routes = To.initRoutes(static_cast<unsigned>(From.Routes.size()));
+  unsigned At = 0;
+  for (const auto &[Name, Route] : From.Routes) {
+    auto Entry = Routes[At++];
+    Entry.setDatabase(readerOf(Name));
+    Entry.setGroup(readerOf(Route.Group));
+    Entry.setMode(static_cast<std::uint8_t>(Route.Mode));
+    Entry.setStatementTimeout(Route.StatementTimeout.count());
+    Entry.setTargetLatency(Route.TargetLatency.count());
+    Entry.setPriority(Route.Priority);
+    Entry.setMaximumAge(Route.MaximumAge.count());
+  }
+  auto Groups = To.initGroups(static_cast<unsigned>(From.Groups.size()));
+  At = 0;
+  for (const auto &[Name, Group] : From.Groups) {
+    auto Entry = Groups[At++];
+    Entry.setGroup(readerOf(Name));
+    Entry.setConnectionCap(Group.ConnectionCap);
+    Entry.setSynchronousReplicas(Group.SynchronousReplicas);
+  }
+}
+
+SessionConfiguration decodeConfiguration(Wire::Configuration::Reader From) {
+  SessionConfiguration Read;
+  Read.Version = From.getVersion();
+  Read.TransactionIdleTimeout = Milliseconds{From.getTransactionIdleTimeout()};
+  for (auto Entry : From.getRoutes()) {
+    SessionRoute Route;
+    Route.Database = textOf(Entry.getDatabase());
+    Route.Group = textOf(Entry.getGroup());
+    Route.Mode = enumeratorOf(Entry.getMode(), ConsistencyMode::ReadYourWrites);
+    Route.StatementTimeout = Milliseconds{Entry.getStatementTimeout()};
+    Route.TargetLatency = Milliseconds{Entry.getTargetLatency()};
+    Route.Priority = Entry.getPriority();
+    Route.MaximumAge = Milliseconds{Entry.getMaximumAge()};
+    std::string Name = Route.Database;
+    Read.Routes.emplace(std::move(Name), std::move(Route));
+  }
+  for (auto Entry : From.getGroups()) {
+    GroupSettings Group{textOf(Entry.getGroup()), Entry.getConnectionCap(),
+                        Entry.getSynchronousReplicas()};
+    GroupId Name = Group.Group;
+    Read.Groups.emplace(std::move(Name), std::move(Group));
+  }
+  return Read;
+}
+
 /// Writes each kind of message.
 struct Encoder {
   Wire::Builder To;
@@ -182,6 +233,12 @@
   }
   void operator()(const RelayedLoss &Message) { To.setLoss(Message.Session); }
   void operator()(const RelayPing &) { To.setPing(); }
+  void operator()(const ConfigurationRequest &) {
+    To.setConfigurationRequest();
+  }
+  void operator()(const SessionConfiguration &Message) {
+    encodeConfiguration(To.initConfiguration(), Message);
+  }
   void operator()(const RelayPong &Message) {
     auto Pong = To.initPong();
     Pong.setConfigurationVersion(Message.ConfigurationVersion);
@@ -201,6 +258,10 @@
     return RelayedLoss{From.getLoss()};
   case Wire::PING:
     return RelayPing{};
+  case Wire::CONFIGURATION_REQUEST:
+    return ConfigurationRequest{};
+  case Wire::CONFIGURATION:
+    return decodeConfiguration(From.getConfiguration());
   case Wire::PONG:
     return RelayPong{From.getPong().getConfigurationVersion(),
                      From.getPong().getLeaving()};
--- a/packages/sessions/hostschedule.cpp
+++ b/packages/sessions/hostschedule.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t CloseWatchers = 2;
 constexpr Milliseconds CloseWatch{2000};
 constexpr Milliseconds DistantWatch{10000};
-/// Hosts that hold no connections hear of later versions from those that do.
-constexpr Milliseconds EntryWatch{25000};
 constexpr Milliseconds RefreshInterval{500};
 /// The platform takes a host out of rotation after two failed questions, one a
 /// second.
@@ -87,8 +85,6 @@
 }
 
 Milliseconds HostSchedule::watchWait(TimePoint Now) const {
-  if (!Registered_)
-    return EntryWatch;
   std::vector<HostName> Live = Engine_.hosts().liveHosts(Now);
   auto Rank = std::find(Live.begin(), Live.end(), Self_) - Live.begin();
   bool Close = static_cast<std::size_t>(Rank) < CloseWatchers;
@@ -109,8 +105,6 @@
     Found.Databases |=
         Peer->second.DatabaseListRevision > Engine_.databaseListRevision();
   }
-  Found.Configuration |= Engine_.router().configurationVersionSeen() >
-                         Engine_.sessions().configuration().Version;
   if (!Found.Configuration && !Found.Databases)
     return {};
   RefreshedAt_ = Now;
--- a/packages/sessions/relayedsessions.cpp
+++ b/packages/sessions/relayedsessions.cpp
@@ -23,6 +23,8 @@
     end({Link, Ended->Session}, Now);
   else if (std::holds_alternative<RelayPing>(Message))
     Functions_.Send(Link, pong());
+  else if (std::holds_alternative<ConfigurationRequest>(Message))
+    Functions_.Send(Link, Functions_.Configuration());
 }
 
 void RelayedSessions::run(RelayLinkId Link, const RelayedWork &Message,
@@ -83,15 +85,19 @@
 }
 
 RelayPong RelayedSessions::pong() const {
-  return {Functions_.ConfigurationVersion(), Leaving_};
+  return {Functions_.Configuration().Version, Leaving_};
 }
 
-void RelayedSessions::beginDrain() {
-  Leaving_ = true;
+void RelayedSessions::announce() {
   for (const auto &[Link, At] : HeardAt_)
     Functions_.Send(Link, pong());
 }
 
+void RelayedSessions::beginDrain() {
+  Leaving_ = true;
+  announce();
+}
+
 void RelayedSessions::endTransactions(TimePoint Now) {
   std::vector<CallerSessionId> Resting;
   for (const auto &[Session, Held] : Sessions_)
--- a/packages/sessions/relayedsessions.h
+++ b/packages/sessions/relayedsessions.h
@@ -13,7 +13,7 @@
   struct Hooks {
     std::function<void(RelayLinkId, const RelayMessage &)> Send;
     std::function<void(RelayLinkId)> Close;
-    std::function<std::uint64_t()> ConfigurationVersion;
+    std::function<const SessionConfiguration &()> Configuration;
   };
 
   RelayedSessions(StatementRunner &Runner, Hooks Functions)
@@ -29,6 +29,8 @@
 
   /// Tells the other hosts that this one takes no new work.
   void beginDrain();
+  /// Tells the other hosts of the configuration that this one goes by.
+  void announceConfiguration() { announce(); }
   /// Rolls back the transactions that rest.
   void endTransactions(TimePoint Now);
   /// Closes connections of hosts that have fallen silent.
@@ -55,6 +57,7 @@
   void end(const Origin &From, TimePoint Now);
   void forgetIfIdle(CallerSessionId Session);
   RelayPong pong() const;
+  void announce();
   bool hasSessions(RelayLinkId Link) const;
 
   StatementRunner &Runner_;
--- a/packages/sessions/relaymessages.h
+++ b/packages/sessions/relaymessages.h
@@ -49,9 +49,13 @@
   bool Leaving = false;
 };
 
+/// Asks for the configuration that the receiver goes by.
+struct ConfigurationRequest {};
+
 /// What hosts send each other on a relay connection.
-using RelayMessage = std::variant<RelayedWork, RelayedEnd, RelayedResult,
-                                  RelayedLoss, RelayPing, RelayPong>;
+using RelayMessage =
+    std::variant<RelayedWork, RelayedEnd, RelayedResult, RelayedLoss, RelayPing,
+                 RelayPong, ConfigurationRequest, SessionConfiguration>;
 
 /// Identifies an incoming relay connection inside one process. Never reused.
 using RelayLinkId = std::uint64_t;
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -12,6 +12,7 @@
 /// Statements without any answer for this long make a database suspect.
 constexpr Milliseconds SuspicionDelay{350};
 constexpr Milliseconds ProbeInterval{300};
+constexpr Milliseconds ConfigurationAskInterval{600};
 
 Milliseconds ageOf(TimePoint Moment, TimePoint Now) {
   return std::chrono::ceil<Milliseconds>(Now - Moment);
@@ -43,30 +44,61 @@
                  return Promotions_.leaderExpectedIn(Group, Now);
                },
                Functions_.ReachChanged}),
-      Relayed_(Runner_, Functions_.Relayed),
-      Router_(Runner_, Table_, Authority_, Hosts_,
-              {Functions_.AskHost, Functions_.CloseRelay,
-               [this](CallerSessionId Session, StatementResult Result,
-                      TimePoint Now) {
-                 Proxy_.onFinished(Session, std::move(Result), Now);
-               },
-               [this](CallerSessionId Session) {
-                 Proxy_.onTransactionLost(Session);
-               }}),
+      Relayed_(Runner_, {Functions_.AnswerHost, Functions_.CloseLink,
+                         [this]() -> const SessionConfiguration & {
+                           return Proxy_.configuration();
+                         }}),
+      Router_(
+          Runner_, Table_, Authority_, Hosts_,
+          {Functions_.AskHost, Functions_.CloseRelay,
+           [this](CallerSessionId Session, StatementResult Result,
+                  TimePoint Now) {
+             Proxy_.onFinished(Session, std::move(Result), Now);
+           },
+           [this](CallerSessionId Session) {
+             Proxy_.onTransactionLost(Session);
+           },
+           [this](const HostName &Host, std::uint64_t Version, TimePoint Now) {
+             onConfigurationSeen(Host, Version, Now);
+           }}),
       Proxy_(Router_, Functions_.Sessions),
       Promotions_(Table_, Hosts_, Authority_, Functions_.Promotions),
       Check_(Table_, Hosts_, Authority_, Functions_.Promotions.Ask) {
   Router_.setPlace(Place_.Zone, Place_.Region);
 }
 
-void SessionEngine::applyConfiguration(SessionConfiguration Configuration,
-                                       TimePoint Now) {
-  (void)Now;
+bool SessionEngine::applyConfiguration(SessionConfiguration Configuration) {
+  if (Configuration.Version <= Proxy_.configuration().Version)
+    return false;
   for (const auto &[Group, Settings] : Configuration.Groups) {
     Promotions_.setSynchronousReplicas(Group, Settings.SynchronousReplicas);
     Runner_.pool().setCap(Group, Settings.ConnectionCap);
   }
   Proxy_.applyConfiguration(std::move(Configuration));
+  Relayed_.announceConfiguration();
+  return true;
+}
+
+/// A configuration is fetched from a near host that has it rather than from the
+/// store: it is large, and many hosts need it at the same moment.
+void SessionEngine::onConfigurationSeen(const HostName &Host,
+                                        std::uint64_t Version, TimePoint Now) {
+  if (Version <= Proxy_.configuration().Version ||
+      Now - ConfigurationAskedAt_ < ConfigurationAskInterval)
+    return;
+  ConfigurationAskedAt_ = Now;
+  Functions_.AskHost(Host, ConfigurationRequest{});
+}
+
+void SessionEngine::onRelayAnswer(const HostName &Host,
+                                  const RelayMessage &Message, TimePoint Now) {
+  Router_.onReceived(Host, Message, Now);
+  const auto *Received = std::get_if<SessionConfiguration>(&Message);
+  if (!Received || !applyConfiguration(*Received))
+    return;
+  // Later ones are asked for at once.
+  ConfigurationAskedAt_ = TimePoint{};
+  Functions_.ConfigurationReceived(Host);
 }
 
 void SessionEngine::applyDatabases(std::vector<DatabaseListing> Listed,
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -27,7 +27,10 @@
     std::function<void(const HostName &, const RelayMessage &)> AskHost;
     std::function<void(const HostName &)> CloseRelay;
     /// To other hosts that this one runs statements for.
-    RelayedSessions::Hooks Relayed;
+    std::function<void(RelayLinkId, const RelayMessage &)> AnswerHost;
+    std::function<void(RelayLinkId)> CloseLink;
+    /// Another host's configuration is in force here.
+    std::function<void(const HostName &)> ConfigurationReceived;
     /// A group's leader or its phase changed.
     std::function<void(const LeadershipRecord &)> LeadershipChanged;
   };
@@ -51,7 +54,11 @@
   const DatabaseTable &databases() const { return Table_; }
   const LeaderAuthority &authority() const { return Authority_; }
 
-  void applyConfiguration(SessionConfiguration Configuration, TimePoint Now);
+  /// Returns false for a configuration that is not later than the present one.
+  bool applyConfiguration(SessionConfiguration Configuration);
+  /// A message of a host that this one asked.
+  void onRelayAnswer(const HostName &Host, const RelayMessage &Message,
+                     TimePoint Now);
   /// Complete list of the databases, as of a revision of the platform's list.
   /// A database that is missing stays in use for a short time while it
   /// answers, since its entry may be back soon.
@@ -92,6 +99,8 @@
   HostObservation completed(HostObservation Message) const;
   void noteLeadership(const LeadershipRecord &Record, TimePoint Moment,
                       TimePoint Now);
+  void onConfigurationSeen(const HostName &Host, std::uint64_t Version,
+                           TimePoint Now);
   void useDatabases(TimePoint Now);
   void probeSilentDatabases(TimePoint Now);
 
@@ -111,6 +120,7 @@
   std::map<DatabaseId, std::pair<DatabaseListing, TimePoint>> Missing_;
   std::map<DatabaseId, TimePoint> ProbedAt_;
   std::uint64_t ListRevision_ = 0;
+  TimePoint ConfigurationAskedAt_;
   bool Leaving_ = false;
   bool ReachesStore_ = true;
   std::optional<TimePoint> StoreReachedSince_;
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -214,9 +214,9 @@
   Functions_.Send(Host, RelayedEnd{Session});
 }
 
-void StatementRouter::onPong(Health &Known, const RelayPong &Message,
-                             TimePoint Now) {
-  VersionSeen_ = std::max(VersionSeen_, Message.ConfigurationVersion);
+void StatementRouter::onPong(const HostName &Host, Health &Known,
+                             const RelayPong &Message, TimePoint Now) {
+  Functions_.ConfigurationSeen(Host, Message.ConfigurationVersion, Now);
   if (Message.Leaving)
     Known.AvoidUntil = Now + LeavingAvoidance;
 }
@@ -228,7 +228,7 @@
   Known.HeardAt = Now;
   Known.AwaitsAnswer = false;
   if (const auto *Pong = std::get_if<RelayPong>(&Message))
-    onPong(Known, *Pong, Now);
+    onPong(Host, Known, *Pong, Now);
   if (const auto *Ended = std::get_if<RelayedResult>(&Message)) {
     onResult(Host, *Ended, Now);
     return;
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -24,6 +24,9 @@
     std::function<void(CallerSessionId, StatementResult, TimePoint)> Finished;
     /// The connection of a session's open transaction is lost.
     std::function<void(CallerSessionId)> TransactionLost;
+    /// Another host goes by the configuration of this version.
+    std::function<void(const HostName &, std::uint64_t Version, TimePoint)>
+        ConfigurationSeen;
   };
 
   StatementRouter(StatementRunner &Runner, const DatabaseTable &Table,
@@ -55,8 +58,8 @@
   /// asked.
   std::optional<Milliseconds> outOfReachFor(const HostName &Host,
                                             TimePoint Now) const;
-  /// Latest configuration that another host has told of.
-  std::uint64_t configurationVersionSeen() const { return VersionSeen_; }
+  /// True when a host is known that runs statements for this one.
+  bool hasMember(TimePoint Now) const { return nearestMember(Now).has_value(); }
   std::size_t inProgress() const { return Works_.size(); }
 
 private:
@@ -88,7 +91,8 @@
   void relay(StatementWork Work, const HostName &Host, std::uint32_t Tries,
              TimePoint Now);
   void refuse(const StatementWork &Work, TimePoint Now);
-  void onPong(Health &Known, const RelayPong &Message, TimePoint Now);
+  void onPong(const HostName &Host, Health &Known, const RelayPong &Message,
+              TimePoint Now);
   void onResult(const HostName &Host, const RelayedResult &Message,
                 TimePoint Now);
   void resolveLost(Relayed Lost, bool WasSent, TimePoint Now);
@@ -110,7 +114,6 @@
   RegionName Region_;
   bool ServesDatabases_ = true;
   std::uint64_t LastNumber_ = 0;
-  std::uint64_t VersionSeen_ = 0;
   /// Statements that other hosts run, by session.
   std::map<CallerSessionId, Relayed> Works_;
   /// Hosts with a session's open transaction.
--- a/tests/protocol/relaycodectest.cpp
+++ b/tests/protocol/relaycodectest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(keepsWork);
   CPPUNIT_TEST(keepsResults);
   CPPUNIT_TEST(keepsSmallMessages);
+  CPPUNIT_TEST(keepsAConfiguration);
   CPPUNIT_TEST(anyBytesGetAnAnswer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,29 @@
     CPPUNIT_ASSERT(Pong.Leaving);
   }
 
+  void keepsAConfiguration() {
+    SessionConfiguration Sent;
+    Sent.Version = 9;
+    Sent.TransactionIdleTimeout = Milliseconds{1234};
+    Sent.Groups["g"] = {"g", 34, 1};
+    SessionRoute Route{"d",
+                       "g",
+                       ConsistencyMode::ReadYourWrites,
+                       Milliseconds{700},
+                       Milliseconds{300},
+                       2,
+                       Milliseconds{1500}};
+    Sent.Routes["d"] = Route;
+    SessionConfiguration Read = passed(Sent);
+    CPPUNIT_ASSERT_EQUAL(Sent.Version, Read.Version);
+    CPPUNIT_ASSERT(Read.TransactionIdleTimeout == Sent.TransactionIdleTimeout);
+    CPPUNIT_ASSERT(Read.Routes == Sent.Routes);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(34), Read.Groups.at("g").ConnectionCap);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1),
+                         Read.Groups.at("g").SynchronousReplicas);
+    passed(ConfigurationRequest{});
+  }
+
   void anyBytesGetAnAnswer() {
     std::string Whole = encodeRelayMessage(RelayedWork{});
     bool Holds =
--- a/tests/sessions/relayservicetest.cpp
+++ b/tests/sessions/relayservicetest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(refusesAtOnceWithoutAMember);
   CPPUNIT_TEST(avoidsAMemberThatStops);
   CPPUNIT_TEST(endsATransactionWhoseCommitIsRefused);
+  CPPUNIT_TEST(hasLaterConfigurationsFromAMember);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -223,6 +224,27 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t(0),
                            Sim->engine(Member).relayed().size());
   }
+
+  // Many hosts fetched a large configuration from the store at the same moment,
+  // over the narrow link between regions.
+  void hasLaterConfigurationsFromAMember() {
+    auto Sim = started();
+    SessionConfiguration Later = Sim->engine(0).sessions().configuration();
+    Later.Version = 7;
+    Later.Routes["later"] = Later.Routes.at("primary");
+    for (std::size_t Member : {0, 1})
+      Sim->engine(Member).applyConfiguration(Later);
+    Sim->run(Milliseconds{1500});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7),
+                         Sim->engine(Entry).sessions().configuration().Version);
+    CallerSessionId Id = Sim->open(Entry, "later");
+    CPPUNIT_ASSERT(Sim->ask(Entry, Id, Verb::Write).Code == Code::Done);
+    // An older one changes nothing.
+    Later.Version = 6;
+    Sim->engine(Entry).onRelayAnswer("host-0", Later, Sim->now());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7),
+                         Sim->engine(Entry).sessions().configuration().Version);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayServiceTest);
