--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -190,12 +190,12 @@
         Hosts_[To]->Engine->relayed().onLinkClosed(Link, Now_);
       });
   };
-  Hooks.Relayed.Send = [this, Index](RelayLinkId Link,
-                                     const RelayMessage &Message) {
+  Hooks.ConfigurationReceived = [](const HostName &) {};
+  Hooks.AnswerHost = [this, Index](RelayLinkId Link,
+                                   const RelayMessage &Message) {
     answerRelay(Index, Link, Message);
   };
-  Hooks.Relayed.Close = [](RelayLinkId) {};
-  Hooks.Relayed.ConfigurationVersion = [] { return std::uint64_t{1}; };
+  Hooks.CloseLink = [](RelayLinkId) {};
   Hooks.LeadershipChanged = [this, Index](const LeadershipRecord &) {
     atHost(Index, Milliseconds{0}, [this, Index] { gossip(Index); });
   };
@@ -313,7 +313,7 @@
     return;
   HostName Name = Hosts_[From]->Name;
   atHost(To, HostLatency, [this, To, Name, Message] {
-    Hosts_[To]->Engine->router().onReceived(Name, Message, Now_);
+    Hosts_[To]->Engine->onRelayAnswer(Name, Message, Now_);
   });
 }
 
@@ -361,7 +361,7 @@
   AddRoute("primary", ConsistencyMode::Primary, Milliseconds{0});
   AddRoute("bounded", ConsistencyMode::BoundedStaleness, BoundedAge);
   AddRoute("own", ConsistencyMode::ReadYourWrites, ReadYourWritesAge);
-  At.Engine->applyConfiguration(Configuration, Now_);
+  At.Engine->applyConfiguration(Configuration);
   At.Engine->setMember(isMember(Index), Now_);
   if (isMember(Index))
     At.Engine->applyDatabases(listings(), ListRevision_, Now_);
