--- a/packages/protocol/hostobservationcodec.cpp
+++ b/packages/protocol/hostobservationcodec.cpp
@@ -1,11 +1,9 @@
 #include "protocol/hostobservationcodec.h"
 
 #include "protocol/hostobservation.capnp.h"
+#include "protocol/packedmessage.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
 #include <kj/exception.h>
-#include <kj/io.h>
 
 namespace nutmegloom {
 
@@ -110,21 +108,14 @@
   auto Groups = To.initGroups(static_cast<unsigned>(Message.Groups.size()));
   for (unsigned At = 0; At < Groups.size(); ++At)
     encodeGroup(Groups[At], Message.Groups[At]);
-  kj::VectorOutputStream Output;
-  capnp::writePackedMessage(Output, Builder);
-  auto Bytes = Output.getArray();
-  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+  return packedBytesOf(Builder);
 }
 
 std::variant<HostObservation, ObservationError>
 decodeObservation(std::string_view Bytes) {
   try {
-    kj::ArrayInputStream Input(kj::arrayPtr(
-        reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()));
-    capnp::ReaderOptions Options;
-    Options.traversalLimitInWords = TraversalLimitWords;
-    capnp::PackedMessageReader Reader(Input, Options);
-    return decodeMessage(Reader.getRoot<wire::HostObservation>());
+    return readPackedMessage<wire::HostObservation>(Bytes, TraversalLimitWords,
+                                                    decodeMessage);
   } catch (const kj::Exception &Error) {
     return ObservationError{Error.getDescription().cStr()};
   }
--- a/packages/protocol/relaycodec.cpp
+++ b/packages/protocol/relaycodec.cpp
@@ -1,11 +1,9 @@
 #include "protocol/relaycodec.h"
 
+#include "protocol/packedmessage.h"
 #include "protocol/relay.capnp.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
 #include <kj/exception.h>
-#include <kj/io.h>
 
 namespace nutmegloom {
 
@@ -274,21 +272,13 @@
 std::string encodeRelayMessage(const RelayMessage &Message) {
   capnp::MallocMessageBuilder Builder;
   std::visit(Encoder{Builder.initRoot<Wire>()}, Message);
-  kj::VectorOutputStream Output;
-  capnp::writePackedMessage(Output, Builder);
-  auto Bytes = Output.getArray();
-  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+  return packedBytesOf(Builder);
 }
 
 std::variant<RelayMessage, RelayError>
 decodeRelayMessage(std::string_view Bytes) {
   try {
-    kj::ArrayInputStream Input(kj::arrayPtr(
-        reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()));
-    capnp::ReaderOptions Options;
-    Options.traversalLimitInWords = TraversalLimitWords;
-    capnp::PackedMessageReader Reader(Input, Options);
-    return decodeMessage(Reader.getRoot<Wire>());
+    return readPackedMessage<Wire>(Bytes, TraversalLimitWords, decodeMessage);
   } catch (const kj::Exception &Error) {
     return RelayError{Error.getDescription().cStr()};
   } catch (const RelayError &Error) {
--- /dev/null
+++ b/packages/telemetry/sessionlog.cpp
@@ -0,0 +1,72 @@
+#include "telemetry/sessionlog.h"
+
+#include "telemetry/events.h"
+
+namespace nutmegloom {
+
+static constexpr Milliseconds LeftOutInterval{1000};
+
+void SessionLog::onStatement(const StatementReport &Report, TimePoint Now) {
+  Metrics_.observeStatement(nameOf(Report.Verb), nameOf(Report.Mode),
+                            nameOf(Report.Code), Report.Time);
+  bool Failed = Report.Code != StatementCode::Done;
+  if (!Failed && Report.Attempts <= 1)
+    return;
+  if (!Lines_.take(Now))
+    return;
+  std::uint64_t Left =
+      Now - LeftOutReportedAt_ > LeftOutInterval ? Lines_.takeSuppressed() : 0;
+  if (Left > 0) {
+    LeftOutReportedAt_ = Now;
+    logEvent(LogEvent::LogLinesLeftOut,
+             {{"lines", static_cast<std::int64_t>(Left)}});
+  }
+  std::string Floor = Report.Floor ? std::to_string(Report.Floor->Term) + "." +
+                                         std::to_string(Report.Floor->Index)
+                                   : "-";
+  logEvent(Failed ? LogEvent::StatementFailed : LogEvent::StatementRepeated,
+           {{"request", Report.StatementId},
+            {"statement", nameOf(Report.Verb)},
+            {"route", Report.Route},
+            {"group", Report.Group},
+            {"mode", nameOf(Report.Mode)},
+            {"code", nameOf(Report.Code)},
+            {"detail", Report.Detail},
+            {"database", Report.Database},
+            {"via", Report.Via},
+            {"floor", Floor},
+            {"leader_age_ms",
+             Report.LeadershipAge ? Report.LeadershipAge->count() : -1},
+            {"attempts", static_cast<std::int64_t>(Report.Attempts)},
+            {"config", static_cast<std::int64_t>(Report.ConfigurationVersion)},
+            {"ms", std::chrono::floor<Milliseconds>(Report.Time).count()}});
+}
+
+void SessionLog::onPromotion(const PromotionReport &Report) {
+  Metrics_.countPromotionStage(nameOf(Report.Stage), nameOf(Report.Reason));
+  logEvent(LogEvent::PromotionStageChanged,
+           {{"group", Report.Group},
+            {"stage", nameOf(Report.Stage)},
+            {"reason", nameOf(Report.Reason)},
+            {"candidate", Report.Candidate},
+            {"token", static_cast<std::int64_t>(Report.Token)},
+            {"detail", Report.Detail}});
+}
+
+void SessionLog::onLeadership(const LeadershipRecord &Record) {
+  logEvent(LogEvent::LeadershipChanged,
+           {{"group", Record.Group},
+            {"leader", Record.Leader},
+            {"term", static_cast<std::int64_t>(Record.Term)},
+            {"phase", nameOf(Record.Phase)},
+            {"holder", Record.Holder},
+            {"revision", static_cast<std::int64_t>(Record.Revision)}});
+}
+
+void SessionLog::onReach(const DatabaseId &Database, bool Reached,
+                         std::string_view Reason) {
+  logEvent(Reached ? LogEvent::DatabaseReached : LogEvent::DatabaseUnreachable,
+           {{"database", Database}, {"error", Reason}});
+}
+
+} // namespace nutmegloom
