Take large responses of the store over slow links

Cause: a list had 1.5 s for its whole response. Change: a response may be late while its bytes come with pauses below a second. Relay messages may have 16 MiB, the size of large configurations. Test: HttpConnectionTest::takesALargeResponseOverASlowLink.

--- a/packages/protocol/httpconnection.cpp
+++ b/packages/protocol/httpconnection.cpp
@@ -49,6 +49,9 @@
                ConnectHandler Handler) override;
   void exchange(HttpRequest Request, std::chrono::milliseconds Timeout,
                 ExchangeHandler Handler) override;
+  void allowSlowResponses(std::chrono::milliseconds Pause) override {
+    Pause_ = Pause;
+  }
   void watchForClose(std::function<void()> Handler) override;
   void close() override;
   bool isOpen() const override { return Open_; }
@@ -58,6 +61,8 @@
     return std::static_pointer_cast<BeastHttpConnection>(shared_from_this());
   }
   void readResponse();
+  void readMore();
+  void finishResponse();
   void finish(std::variant<HttpResponse, HttpFailure> Result);
   void waitForClose();
   void onReadable();
@@ -69,6 +74,9 @@
   beast::flat_buffer Buffer_;
   http::request<http::string_body> Request_;
   std::optional<http::response_parser<http::string_body>> Parser_;
+  /// Longest pause within a response that is late; zero: none is allowed.
+  std::chrono::milliseconds Pause_{0};
+  std::chrono::steady_clock::time_point Deadline_;
   ExchangeHandler Handler_;
   std::function<void()> CloseHandler_;
   bool Open_ = false;
@@ -125,7 +133,8 @@
     Request_.set(Name, Value);
   Request_.body() = std::move(Request.Body);
   Request_.prepare_payload();
-  Stream_.expires_after(Timeout);
+  Deadline_ = std::chrono::steady_clock::now() + Timeout;
+  Stream_.expires_at(Deadline_);
   http::async_write(
       Stream_, Request_,
       [Self = self()](const beast::error_code &Error, std::size_t) {
@@ -139,25 +148,40 @@
 
 void BeastHttpConnection::readResponse() {
   Parser_.emplace();
+  Parser_->eager(true);
   Parser_->body_limit(MaximumBody_);
   Parser_->header_limit(MaximumHeaderBytes);
-  http::async_read(
+  readMore();
+}
+
+void BeastHttpConnection::readMore() {
+  http::async_read_some(
       Stream_, Buffer_, *Parser_,
       [Self = self()](const beast::error_code &Error, std::size_t) {
         if (Error) {
           Self->finish(HttpFailure{kindOfReadError(Error), Error.message()});
           return;
         }
-        auto &Message = Self->Parser_->get();
-        HttpResponse Response;
-        Response.Status = static_cast<int>(Message.result_int());
-        for (const auto &Field : Message)
-          Response.Headers.emplace_back(Field.name_string(), Field.value());
-        Response.Body = std::move(Message.body());
-        Self->finish(std::move(Response));
+        if (Self->Parser_->is_done()) {
+          Self->finishResponse();
+          return;
+        }
+        auto Allowed = std::chrono::steady_clock::now() + Self->Pause_;
+        Self->Stream_.expires_at(std::max(Self->Deadline_, Allowed));
+        Self->readMore();
       });
 }
 
+void BeastHttpConnection::finishResponse() {
+  auto &Message = Parser_->get();
+  HttpResponse Response;
+  Response.Status = static_cast<int>(Message.result_int());
+  for (const auto &Field : Message)
+    Response.Headers.emplace_back(Field.name_string(), Field.value());
+  Response.Body = std::move(Message.body());
+  finish(std::move(Response));
+}
+
 void BeastHttpConnection::finish(
     std::variant<HttpResponse, HttpFailure> Result) {
   const bool KeepOpen = std::holds_alternative<HttpResponse>(Result) &&
--- a/packages/protocol/httpconnection.h
+++ b/packages/protocol/httpconnection.h
@@ -72,6 +72,10 @@
   virtual void exchange(HttpRequest Request, std::chrono::milliseconds Timeout,
                         ExchangeHandler Handler) = 0;
 
+  /// Lets a response go on beyond its time limit while bytes come with pauses
+  /// below Pause: a large body over a slow link.
+  virtual void allowSlowResponses(std::chrono::milliseconds Pause) = 0;
+
   /// Sets the function that is called when the peer closes the connection
   /// while no exchange is in progress.
   virtual void watchForClose(std::function<void()> Handler) = 0;
--- a/packages/protocol/messagestream.cpp
+++ b/packages/protocol/messagestream.cpp
@@ -17,8 +17,9 @@
 
 constexpr std::string_view LineEnd = "\r\n";
 constexpr std::size_t ReadBytes = std::size_t{32} * 1024;
-/// Text that a peer does not take is bounded by this.
-constexpr std::size_t MaximumOutputBytes = std::size_t{4} * 1024 * 1024;
+/// What a peer does not take is bounded by these.
+constexpr std::size_t MaximumLineOutputBytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t MaximumMessageOutputBytes = std::size_t{24} * 1024 * 1024;
 constexpr std::size_t LengthBytes = 4;
 
 /// The first message of the input.
@@ -137,8 +138,10 @@
   }
   if (!Open_)
     return;
-  std::size_t Prefix = Framing_ == Framing::LengthPrefixed ? LengthBytes : 0;
-  if (Input.size() > MaximumMessageBytes + Prefix) {
+  std::size_t Limit = Framing_ == Framing::Lines
+                          ? MaximumLineBytes
+                          : MaximumMessageBytes + LengthBytes;
+  if (Input.size() > Limit) {
     fail();
     return;
   }
@@ -157,7 +160,9 @@
   if (!Open_)
     return;
   Output_ += Text;
-  if (Output_.size() > MaximumOutputBytes) {
+  std::size_t Limit = Framing_ == Framing::Lines ? MaximumLineOutputBytes
+                                                 : MaximumMessageOutputBytes;
+  if (Output_.size() > Limit) {
     fail();
     return;
   }
--- a/packages/protocol/messagestream.h
+++ b/packages/protocol/messagestream.h
@@ -13,8 +13,10 @@
 
 namespace nutmegloom {
 
-/// Greatest length of a message, in bytes.
-constexpr std::size_t MaximumMessageBytes = std::size_t{1024} * 1024;
+/// Greatest length of a line, in bytes.
+constexpr std::size_t MaximumLineBytes = std::size_t{1024} * 1024;
+/// Greatest length of a message with a length prefix: a whole configuration.
+constexpr std::size_t MaximumMessageBytes = std::size_t{16} * 1024 * 1024;
 
 /// How a stream of bytes is cut into messages.
 enum class Framing {
--- a/packages/protocol/relaycodec.cpp
+++ b/packages/protocol/relaycodec.cpp
@@ -12,7 +12,7 @@
 using Wire = wire::RelayMessage;
 
 /// Words that a received message may make the reader walk through.
-constexpr std::uint64_t TraversalLimitWords = std::uint64_t{1024} * 1024;
+constexpr std::uint64_t TraversalLimitWords = std::uint64_t{8} * 1024 * 1024;
 constexpr std::uint8_t OpensNothing = 0;
 constexpr std::uint8_t OpensWriting = 1;
 constexpr std::uint8_t OpensReading = 2;
--- /dev/null
+++ b/tests/protocol/httpconnectiontest.cpp
@@ -0,0 +1,99 @@
+#include "protocol/httpconnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+namespace nutmegloom {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Responses that come slowly.
+class HttpConnectionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpConnectionTest);
+  CPPUNIT_TEST(takesALargeResponseOverASlowLink);
+  CPPUNIT_TEST(endsAResponseThatStops);
+  CPPUNIT_TEST(keepsToTheLimitOtherwise);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr milliseconds Limit{300};
+  static constexpr int Pieces = 12;
+
+  asio::io_context Io_;
+  tcp::acceptor Acceptor_{Io_,
+                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  tcp::socket Peer_{Io_};
+  asio::steady_timer Timer_{Io_};
+  std::optional<std::variant<HttpResponse, HttpFailure>> Result_;
+
+  /// Sends a body in pieces with pauses, of which the last ones may be missing.
+  void serve(int Sent) {
+    Acceptor_.async_accept(Peer_, [this, Sent](auto Error) {
+      CPPUNIT_ASSERT(!Error);
+      asio::write(Peer_, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                      std::to_string(Pieces) + "\r\n\r\n"));
+      sendPiece(Sent);
+    });
+  }
+
+  void sendPiece(int Left) {
+    if (Left == 0)
+      return;
+    Timer_.expires_after(milliseconds{50});
+    Timer_.async_wait([this, Left](auto Error) {
+      if (Error)
+        return;
+      boost::system::error_code Ignored;
+      asio::write(Peer_, asio::buffer("x", 1), Ignored);
+      sendPiece(Left - 1);
+    });
+  }
+
+  void ask(milliseconds Pause) {
+    auto Connection = HttpConnection::create(
+        Io_, "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port()),
+        1000);
+    if (Pause.count() > 0)
+      Connection->allowSlowResponses(Pause);
+    Connection->connect(Limit, [this, Connection](const HttpFailure *Failure) {
+      CPPUNIT_ASSERT(!Failure);
+      Connection->exchange(HttpRequest{}, Limit,
+                           [this](auto Result) { Result_ = Result; });
+    });
+    while (!Result_)
+      Io_.run_one();
+  }
+
+  // A configuration of a megabyte was given up and asked for anew, again and
+  // again, over a link between regions that this filled.
+  void takesALargeResponseOverASlowLink() {
+    serve(Pieces);
+    ask(milliseconds{2000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(Pieces),
+                         std::get<HttpResponse>(*Result_).Body.size());
+  }
+
+  void endsAResponseThatStops() {
+    serve(Pieces - 1);
+    ask(milliseconds{400});
+    CPPUNIT_ASSERT(std::get<HttpFailure>(*Result_).Kind ==
+                   HttpFailureKind::TimedOut);
+  }
+
+  void keepsToTheLimitOtherwise() {
+    serve(Pieces);
+    ask(milliseconds{0});
+    CPPUNIT_ASSERT(std::get<HttpFailure>(*Result_).Kind ==
+                   HttpFailureKind::TimedOut);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
+
+} // namespace nutmegloom
