--- a/packages/sessions/membership.cpp
+++ b/packages/sessions/membership.cpp
@@ -117,34 +117,40 @@
   return Free;
 }
 
-void Membership::tick(TimePoint Now) {
-  if (Listing_ || Writing_ || Stopping_)
-    return;
+bool Membership::isListDue(TimePoint Now) const {
   Milliseconds Interval = ListInterval;
   if (!Listed_)
     Interval = RetryInterval;
   else if (Member_ && Slots_.size() <= 1)
     Interval = FirstListInterval;
-  if (Now - ListedAt_ >= Interval) {
-    list(Now);
-    return;
-  }
-  if (Member_ || !Listed_)
+  return Now - ListedAt_ >= Interval;
+}
+
+void Membership::tick(TimePoint Now) {
+  if (Listing_ || Writing_ || Stopping_)
     return;
+  if (isListDue(Now))
+    list(Now);
+  else if (Listed_ && !Member_)
+    tryToJoin(Now);
+}
+
+void Membership::tryToJoin(TimePoint Now) {
   std::optional<MemberSlot> Free = freeSlot(Now);
   if (!Free) {
     if (!std::exchange(NoneFree_, true))
       Functions_.Decided(false);
     return;
   }
-  bool IsOwn = Own_.Name == Free->Name;
-  Milliseconds Delay = WeakDelay + Milliseconds{std::hash<HostName>{}(Self_) %
-                                                WeakDelaySpreadMs};
-  bool MustWait = !Strong_ && !IsOwn;
-  if (MustWait && Now - *FirstListedAt_ < Delay)
+  bool MustWait = !Strong_ && Own_.Name != Free->Name;
+  TimePoint MayJoinAt = *FirstListedAt_;
+  if (MustWait)
+    MayJoinAt += WeakDelay +
+                 Milliseconds{std::hash<HostName>{}(Self_) % WeakDelaySpreadMs};
+  if (Now < MayJoinAt)
     return;
   // What was listed before the wait is old.
-  if (MustWait && ListedAt_ < *FirstListedAt_ + Delay) {
+  if (ListedAt_ < MayJoinAt && MustWait) {
     list(Now);
     return;
   }
--- a/packages/sessions/membership.h
+++ b/packages/sessions/membership.h
@@ -69,7 +69,9 @@
   std::optional<MemberSlot> freeSlot(TimePoint Now);
   bool isTakeable(const MemberSlot &Slot, TimePoint Now);
   void stepDown();
+  bool isListDue(TimePoint Now) const;
   void list(TimePoint Now);
+  void tryToJoin(TimePoint Now);
   void join(std::uint64_t Revision);
 
   HostName Self_;
