Fetch a configuration from another member when the store gives none

Cause: hosts that relay have the configuration from their member. Ruled out: slow links (the version was acknowledged 5 s before, and hosts beside had it). Test: hasConfigurationsThatTheStoreDoesNotGive.

--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -90,6 +90,14 @@
   Functions_.AskHost(Host, ConfigurationRequest{});
 }
 
+/// The store may turn single hosts away for long. A member that went on with an
+/// old configuration would pass it on to the hosts that relay to it.
+void SessionEngine::askForConfiguration(TimePoint Now) {
+  for (const auto &[Name, Peer] : Hosts_.peers())
+    if (Hosts_.isLive(Name, Now))
+      onConfigurationSeen(Name, Peer.ConfigurationVersion, Now);
+}
+
 void SessionEngine::onRelayAnswer(const HostName &Host,
                                   const RelayMessage &Message, TimePoint Now) {
   Router_.onReceived(Host, Message, Now);
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -56,6 +56,8 @@
 
   /// Returns false for a configuration that is not later than the present one.
   bool applyConfiguration(SessionConfiguration Configuration);
+  /// Asks a member for its configuration, if one has told of a later version.
+  void askForConfiguration(TimePoint Now);
   /// A message of a host that this one asked.
   void onRelayAnswer(const HostName &Host, const RelayMessage &Message,
                      TimePoint Now);
--- a/tests/sessions/relayservicetest.cpp
+++ b/tests/sessions/relayservicetest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(avoidsAMemberThatStops);
   CPPUNIT_TEST(endsATransactionWhoseCommitIsRefused);
   CPPUNIT_TEST(hasLaterConfigurationsFromAMember);
+  CPPUNIT_TEST(hasConfigurationsThatTheStoreDoesNotGive);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -245,6 +246,20 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(7),
                          Sim->engine(Entry).sessions().configuration().Version);
   }
+
+  // The store turned one member away for nine seconds. It passed the old
+  // configuration on to hosts that the store would have served.
+  void hasConfigurationsThatTheStoreDoesNotGive() {
+    auto Sim = started();
+    SessionConfiguration Later = Sim->engine(0).sessions().configuration();
+    Later.Version = 7;
+    Sim->engine(0).applyConfiguration(Later);
+    Sim->run(Milliseconds{500});
+    Sim->engine(1).askForConfiguration(Sim->now());
+    Sim->run(Milliseconds{100});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7),
+                         Sim->engine(1).sessions().configuration().Version);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayServiceTest);
