Accept nothing after a stopping host has decided to finish

Cause: at half of its grace period a host without sessions finishes: it gives up its slot in the store and exits when the write is answered. Sessions on which START had not arrived yet were not counted either.

Ruled out: the roll itself (the host was out of rotation for 2 s, callers came because less than half of their zone was in rotation) and the database (it ran the statement and answered).

Change: the host stops accepting when transactions are ended, refuses connections without a session (busy, retry elsewhere), and finishes only once nothing is accepted and no connection is left. Accepted relay connections are closed before the slot is given up. Statements that are still in progress when time is out are answered, in doubt or not run as is true. A session that was opened or answered less than 200 ms ago is not closed as idle, since its statement may be on its way and a write could not be repeated. Transactions without a statement end at the same step as others.

--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -62,6 +62,13 @@
   });
 }
 
+void RelayLinks::stopAccepting() {
+  boost::system::error_code Ignored;
+  Acceptor_.close(Ignored);
+  for (auto &[Link, Stream] : std::exchange(Incoming_, {}))
+    Stream->close();
+}
+
 void RelayLinks::onRequest(IncomingRelayId Link, std::string_view Bytes) {
   auto Read = decodeRelayMessage(Bytes);
   if (auto *Error = std::get_if<RelayError>(&Read)) {
--- a/packages/protocol/relaylinks.h
+++ b/packages/protocol/relaylinks.h
@@ -33,6 +33,10 @@
   /// Listens at the address. Returns an error message; empty on success.
   std::string listen(const std::string &Ip, std::uint16_t Port);
 
+  /// Stops listening and closes the accepted connections without calling
+  /// Closed.
+  void stopAccepting();
+
   /// Sends a message to a host. Without a connection to it, opens one to
   /// Address ("IP:port") and queues the message until then.
   void sendRequest(const HostName &Host, const std::string &Address,
--- a/packages/sessions/hostschedule.cpp
+++ b/packages/sessions/hostschedule.cpp
@@ -17,11 +17,6 @@
 constexpr Milliseconds ShortWatchTimeout{2000};
 constexpr Milliseconds LongWatchTimeout{10000};
 constexpr Milliseconds RefreshInterval{500};
-/// The platform sends no new callers to a host after two failed readiness
-/// checks, which it makes every second.
-constexpr Milliseconds RotationDelay{2300};
-/// Reserved for sending the last answers before the process is killed.
-constexpr Milliseconds StopMargin{600};
 
 } // namespace
 
@@ -114,21 +109,4 @@
   return Due;
 }
 
-void GracefulStop::begin(TimePoint Now) {
-  if (!Since_)
-    Since_ = Now;
-}
-
-/// Sessions stay open until no new callers arrive, and are then closed when
-/// they are idle. Open transactions may continue for half of the grace period.
-GracefulStop::Step GracefulStop::step(std::size_t Sessions,
-                                      TimePoint Now) const {
-  Duration Stopping = Now - *Since_;
-  if (Stopping >= GracePeriod_ - StopMargin)
-    return Sessions == 0 ? Step::Finished : Step::OutOfTime;
-  if (Stopping >= GracePeriod_ / 2)
-    return Sessions == 0 ? Step::Finished : Step::EndTransactions;
-  return Stopping >= RotationDelay ? Step::CloseIdle : Step::Serve;
-}
-
 } // namespace nutmegloom
--- a/packages/sessions/hostschedule.h
+++ b/packages/sessions/hostschedule.h
@@ -66,34 +66,6 @@
   Refresh PreviouslyOutdated_;
 };
 
-/// Determines the steps of a planned stop of the host process.
-class GracefulStop {
-public:
-  /// GracePeriod: time from the request to stop until the process is killed.
-  explicit GracefulStop(Milliseconds GracePeriod) : GracePeriod_(GracePeriod) {}
-
-  void begin(TimePoint Now);
-  bool isStopping() const { return Since_.has_value(); }
-
-  enum class Step {
-    /// Continue as before, since callers still arrive.
-    Serve,
-    /// Close sessions that are idle.
-    CloseIdle,
-    /// Close idle sessions and roll back open transactions.
-    EndTransactions,
-    /// No sessions are left; the process can exit.
-    Finished,
-    /// Sessions are left, but the process must exit.
-    OutOfTime,
-  };
-  Step step(std::size_t Sessions, TimePoint Now) const;
-
-private:
-  Milliseconds GracePeriod_;
-  std::optional<TimePoint> Since_;
-};
-
 } // namespace nutmegloom
 
 #endif // NUTMEGLOOM_SESSIONS_HOSTSCHEDULE_H
--- a/packages/sessions/sessionproxy.cpp
+++ b/packages/sessions/sessionproxy.cpp
@@ -4,6 +4,15 @@
 
 namespace nutmegloom {
 
+namespace {
+
+/// Time for a statement to arrive that its caller sent when the session was
+/// opened or answered. A write on a connection that is closed meanwhile could
+/// not be repeated by its caller.
+constexpr Milliseconds IdleCloseDelay{200};
+
+} // namespace
+
 SessionProxy::SessionProxy(StatementRouter &Router, Hooks Callbacks)
     : Router_(Router), Hooks_(std::move(Callbacks)) {}
 
@@ -14,12 +23,15 @@
 }
 
 SessionProxy::OpenResult SessionProxy::open(CallerSessionId Id,
-                                            const std::string &Database) {
+                                            const std::string &Database,
+                                            TimePoint Now) {
   if (Configuration_.Version == 0)
     return OpenResult::NotConfigured;
   if (!Configuration_.Routes.contains(Database))
     return OpenResult::UnknownDatabase;
-  Sessions_[Id].Database = Database;
+  Session &Opened = Sessions_[Id];
+  Opened.Database = Database;
+  Opened.IdleSince = Now;
   return OpenResult::Accepted;
 }
 
@@ -306,11 +318,12 @@
     Hooks_.CloseSession(Id);
 }
 
-void SessionProxy::beginDrain() {
+void SessionProxy::closeIdleSessions(TimePoint Now) {
   Draining_ = true;
   std::vector<CallerSessionId> Idle;
   for (const auto &[Id, Held] : Sessions_)
-    if (Held.State == TransactionStatus::Idle && !Held.Current)
+    if (Held.State == TransactionStatus::Idle && !Held.Current &&
+        Now - Held.IdleSince >= IdleCloseDelay)
       Idle.push_back(Id);
   for (CallerSessionId Id : Idle)
     Hooks_.CloseSession(Id);
@@ -318,9 +331,10 @@
 
 void SessionProxy::endTransactions(TimePoint Now) {
   for (auto &[Id, Held] : Sessions_) {
-    if (Held.Current || !Held.Pinned)
+    if (Held.Current || Held.State != TransactionStatus::InTransaction)
       continue;
-    Router_.rollBack(*Held.Pinned, Now);
+    if (Held.Pinned)
+      Router_.rollBack(*Held.Pinned, Now);
     Held.Pinned.reset();
     Held.Lost = true;
   }
--- a/packages/sessions/sessionproxy.h
+++ b/packages/sessions/sessionproxy.h
@@ -43,7 +43,8 @@
   const SessionConfiguration &configuration() const { return Configuration_; }
 
   enum class OpenResult { Accepted, UnknownDatabase, NotConfigured };
-  OpenResult open(CallerSessionId Session, const std::string &Database);
+  OpenResult open(CallerSessionId Session, const std::string &Database,
+                  TimePoint Now);
   void close(CallerSessionId Session, TimePoint Now);
   /// Handles a statement. The session must have answered all earlier ones.
   void onStatement(CallerSessionId Session, CallerStatement Statement,
@@ -53,9 +54,11 @@
                   TimePoint Now);
   void onTransactionLost(CallerSessionId Session);
 
-  /// From now on closes each session as soon as it has no statement in progress
-  /// and no open transaction.
-  void beginDrain();
+  /// Closes sessions without a statement in progress and an open transaction,
+  /// now and after their next answer. One that was opened or answered just
+  /// before is left open for a moment, since its caller may have sent a
+  /// statement already.
+  void closeIdleSessions(TimePoint Now);
   /// Rolls back the open transactions without a statement in progress.
   void endTransactions(TimePoint Now);
   void tick(TimePoint Now);
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -387,13 +387,25 @@
   for (const auto &[Session, Task] : RelayedStatements_)
     if (Now >= Task.Work.Deadline + AnswerGracePeriod)
       Late.push_back(Task);
-  for (const Relayed &Task : Late) {
-    --Load_[Task.Host];
-    RelayedStatements_.erase(Task.Work.Session);
-    Transactions_.erase(Task.Work.Session);
-    Hooks_.Send(Task.Host, RelayedCancel{Task.Work.Session});
-    finish(Task, codeOfUnanswered(Task.Work), "no answer in time", Now);
-  }
+  for (const Relayed &Task : Late)
+    expire(Task, Now);
+}
+
+void StatementRouter::expire(const Relayed &Task, TimePoint Now) {
+  --Load_[Task.Host];
+  RelayedStatements_.erase(Task.Work.Session);
+  Transactions_.erase(Task.Work.Session);
+  Hooks_.Send(Task.Host, RelayedCancel{Task.Work.Session});
+  finish(Task, codeOfUnanswered(Task.Work), "no answer in time", Now);
+}
+
+void StatementRouter::endStatements(TimePoint Now) {
+  std::vector<Relayed> Unanswered;
+  for (const auto &[Session, Task] : RelayedStatements_)
+    Unanswered.push_back(Task);
+  for (const Relayed &Task : Unanswered)
+    expire(Task, Now);
+  Runner_.endStatements(Now);
 }
 
 bool StatementRouter::dependsOn(const HostName &Host) const {
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -45,6 +45,8 @@
   /// the session was closed. Pinned: connection of the open transaction.
   void cancel(CallerSessionId Session, std::optional<ConnectionId> Pinned,
               TimePoint Now);
+  /// Answers all statements in progress, because the host stops.
+  void endStatements(TimePoint Now);
   /// Rolls back the transaction on a connection and releases the connection.
   void rollBack(ConnectionId Pinned, TimePoint Now);
 
@@ -110,6 +112,8 @@
   bool dependsOn(const HostName &Host) const;
   void checkLinks(TimePoint Now);
   void expireOverdue(TimePoint Now);
+  /// Ends a relayed statement that is not answered in time.
+  void expire(const Relayed &Task, TimePoint Now);
 
   StatementRunner &Runner_;
   const DatabaseTable &Table_;
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -52,6 +52,8 @@
   /// the session was closed. Pinned: connection of the open transaction.
   void cancel(CallerSessionId Session, std::optional<ConnectionId> Pinned,
               TimePoint Now);
+  /// Answers all statements in progress, because the host stops.
+  void endStatements(TimePoint Now);
   /// Rolls back the transaction on a connection, which is released when the
   /// database has answered.
   void rollBack(ConnectionId Connection, TimePoint Now);
--- a/testing/standinsessions/sessiondatabases.cpp
+++ b/testing/standinsessions/sessiondatabases.cpp
@@ -75,6 +75,8 @@
 
 void SessionDatabases::onLine(const std::string &Id, Session &Client,
                               std::string_view Line) {
+  if (Members_.at(Id)->Silent)
+    return;
   std::istringstream Words{std::string(Line)};
   std::string Word;
   Words >> Word;
--- a/testing/standinsessions/sessiondatabases.h
+++ b/testing/standinsessions/sessiondatabases.h
@@ -23,6 +23,10 @@
   bool isUp(const std::string &Id) const { return Members_.at(Id)->Up; }
   /// Closes the database's port and its connections.
   void crash(const std::string &Id);
+  /// A silent database keeps its connections and answers nothing.
+  void setSilent(const std::string &Id, bool Silent) {
+    Members_.at(Id)->Silent = Silent;
+  }
   /// Listens again at the previous address, with the log kept.
   void restart(const std::string &Id);
   /// Makes the database primary of a new term, unless it is primary already.
@@ -54,6 +58,7 @@
     boost::asio::ip::tcp::acceptor Acceptor;
     std::vector<std::shared_ptr<MessageStream>> Streams;
     bool Up = true;
+    bool Silent = false;
     std::uint16_t Port = 0;
   };
   struct Session {
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
 #include <sstream>
 
 namespace nutmegloom {
@@ -52,8 +53,13 @@
   CPPUNIT_TEST(listsAgainAfterHistoryCompaction);
   CPPUNIT_TEST(replacesALostPrimary);
   CPPUNIT_TEST(servesWhileTheStoreIsUnreachable);
+  CPPUNIT_TEST(acceptsNoSessionOnceItHasFinished);
+  CPPUNIT_TEST(answersStatementsInProgressBeforeItExits);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Leaves 400 ms for ending transactions.
+  static constexpr Milliseconds StopGrace{2000};
+
   asio::io_context Io_;
   testing::SessionDatabases Databases_{Io_, "g", {"a", "b", "c"}};
   testing::ObjectApi Store_{Io_, [this](const std::string &Id) {
@@ -116,6 +122,7 @@
     Settings.MetricsPort = endpointOf(freeAddress(Io_))->port();
     Settings.StoreAddress = Store_.address();
     Settings.PromotionAddress = Store_.address();
+    Settings.StopGrace = StopGrace;
     Host_ = std::make_unique<PlatformHost>(Io_, Settings);
     CPPUNIT_ASSERT(Host_->start());
   }
@@ -234,6 +241,40 @@
     CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
                          ask(*Caller, "QUERY q2 WRITE x data")[0]);
   }
+
+  bool hasLogged(const std::string &Event) const {
+    return Log_.str().find("name=" + Event) != std::string::npos;
+  }
+
+  // Guards against a session that is accepted while the host gives up its slot:
+  // the process exited in the middle of its statement.
+  void acceptsNoSessionOnceItHasFinished() {
+    connect("d1");
+    raise(SIGTERM);
+    CPPUNIT_ASSERT(await([this] { return hasLogged("drain_finished"); }));
+    tcp::socket Late(Io_);
+    boost::system::error_code Error;
+    Late.connect(*endpointOf(CallerAddress_), Error);
+    CPPUNIT_ASSERT(Error == asio::error::connection_refused);
+  }
+
+  void answersStatementsInProgressBeforeItExits() {
+    auto Caller = connect("d1");
+    ask(*Caller, "QUERY q1 READ x");
+    Databases_.setSilent("a", true);
+    raise(SIGTERM);
+    CPPUNIT_ASSERT(await([this] { return hasLogged("drain_started"); }));
+    // Idle sessions are closed after half of the grace period.
+    asio::steady_timer Timer(Io_, StopGrace / 2 - Milliseconds{100});
+    bool Passed = false;
+    Timer.async_wait([&](auto) { Passed = true; });
+    CPPUNIT_ASSERT(await([&] { return Passed; }));
+    Caller->Lines.clear();
+    Caller->send("QUERY q2 WRITE x data");
+    CPPUNIT_ASSERT(await([&] { return Caller->Closed || Io_.stopped(); }));
+    CPPUNIT_ASSERT(!Caller->Lines.empty());
+    CPPUNIT_ASSERT(Caller->Lines[0].starts_with("ERROR INDOUBT"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformHostTest);
--- a/tests/sessions/hostscheduletest.cpp
+++ b/tests/sessions/hostscheduletest.cpp
@@ -9,7 +9,6 @@
   CPPUNIT_TEST(readsRecordsOnlyOnceItIsListed);
   CPPUNIT_TEST(onlyTheFirstHostOfARegionReadsRecords);
   CPPUNIT_TEST(refreshesWhenAnotherHostIsAhead);
-  CPPUNIT_TEST(stopsInSteps);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
@@ -70,21 +69,6 @@
     Now_ += Milliseconds{600};
     CPPUNIT_ASSERT(Schedule_.refreshDue(Now_).Configuration);
   }
-
-  void stopsInSteps() {
-    using Step = GracefulStop::Step;
-    GracefulStop Stop(Milliseconds{6000});
-    CPPUNIT_ASSERT(!Stop.isStopping());
-    Stop.begin(Now_);
-    auto At = [&](int Millis, std::size_t Sessions) {
-      return Stop.step(Sessions, Now_ + Milliseconds{Millis});
-    };
-    CPPUNIT_ASSERT(At(1000, 3) == Step::Serve);
-    CPPUNIT_ASSERT(At(2500, 3) == Step::CloseIdle);
-    CPPUNIT_ASSERT(At(3100, 3) == Step::EndTransactions);
-    CPPUNIT_ASSERT(At(3100, 0) == Step::Finished);
-    CPPUNIT_ASSERT(At(5500, 3) == Step::OutOfTime);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostScheduleTest);
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(doesNotTreatASlowPrimaryAsFailed);
   CPPUNIT_TEST(waitsForDatabasesThatResetConnectionsAfterAPowerLoss);
   CPPUNIT_TEST(replacesAPrimaryThatResetsAllConnections);
+  CPPUNIT_TEST(servesANewSessionOfAStoppingHost);
+  CPPUNIT_TEST(endsTransactionsWithoutAStatementOnStop);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -409,6 +411,29 @@
     Sim->run(Milliseconds{8000});
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sim->promotions());
   }
+
+  // Guards against closing a session whose caller has just sent its first
+  // statement: a write could then not be repeated.
+  void servesANewSessionOfAStoppingHost() {
+    auto Sim = startSimulation();
+    CallerSessionId Old = Sim->open(0, "primary");
+    Sim->run(Milliseconds{300});
+    CallerSessionId New = Sim->open(0, "primary");
+    Sim->engine(0).sessions().closeIdleSessions(Sim->now());
+    CPPUNIT_ASSERT(Sim->isClosed(Old));
+    CPPUNIT_ASSERT(!Sim->isClosed(New));
+    CPPUNIT_ASSERT(Sim->ask(0, New, Verb::Write).Code == Code::Done);
+    CPPUNIT_ASSERT(Sim->isClosed(New));
+  }
+
+  void endsTransactionsWithoutAStatementOnStop() {
+    auto Sim = startSimulation();
+    CallerSessionId Id = Sim->open(0, "primary");
+    Sim->ask(0, Id, Verb::Begin);
+    Sim->engine(0).sessions().endTransactions(Sim->now());
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Write).Code == Code::Aborted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Sim->acknowledgedWrites());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionServiceTest);
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -157,7 +157,10 @@
                                  const StatementAnswer &Answer) {
     recordAnswer(Id, Answer);
   };
-  Hooks.Sessions.CloseSession = [](CallerSessionId) {};
+  Hooks.Sessions.CloseSession = [this, Index](CallerSessionId Id) {
+    Closed_.insert(Id);
+    Hosts_[Index]->Engine->sessions().close(Id, Now_);
+  };
   Hooks.Sessions.Report = [](const StatementReport &) {};
   Hooks.Connections.Open = [this, Index](ConnectionId Id,
                                          const DatabaseListing &Listing) {
@@ -801,7 +804,7 @@
 CallerSessionId Simulation::open(std::size_t Index, const std::string &Route) {
   CallerSessionId Id = ++LastSession_;
   Routes_[Id] = Route;
-  Hosts_[Index]->Engine->sessions().open(Id, Route);
+  Hosts_[Index]->Engine->sessions().open(Id, Route, Now_);
   return Id;
 }
 
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -61,6 +61,10 @@
             const std::string &Text = "x");
   /// Answer to the latest statement of the session; nothing before it arrives.
   std::optional<StatementAnswer> answerOf(CallerSessionId Session) const;
+  /// True when the host has closed the session.
+  bool isClosed(CallerSessionId Session) const {
+    return Closed_.contains(Session);
+  }
   /// Sends a statement and runs until it is answered. Throws
   /// std::bad_optional_access if that takes more than five seconds.
   StatementAnswer ask(std::size_t Host, CallerSessionId Session,
@@ -226,6 +230,8 @@
   std::map<CallerSessionId, PendingStatement> Pending_;
   std::map<CallerSessionId, StatementAnswer> Answers_;
   std::map<CallerSessionId, std::string> Routes_;
+  /// Sessions that their host has closed.
+  std::set<CallerSessionId> Closed_;
   /// Acknowledged commits by term, oldest first.
   std::map<std::uint64_t, std::vector<Ack>> Acknowledged_;
   /// Latest acknowledged commit of each session.
