Refuse early by the databases that can serve, and keep room under the connection cap

A statement's expected wait counted idle connections to replicas whose logs lagged behind. All queued statements were also measured by the length of the whole queue, so the oldest were refused first. 2. Databases count the connections of a host that lost power for 3 s more. A host that had just started took itself for the only one, and its share for the whole cap.

Ruled out: start-up (ready 0.07 to 0.1 s after the start), the store, and the order of the queue.

Change: the wait is estimated by the databases that may run the statement, from the statements ahead of it (own file, waitestimate); a statement is queued only if it is expected to be answered before a quarter of its time is left. Idle connections beyond half of a host's share are closed; for 3 s after its start a host opens no more than that half; the share is exceeded only in place of connections with transactions; listed hosts count before they are heard.

--- a/packages/sessions/databasepool.cpp
+++ b/packages/sessions/databasepool.cpp
@@ -10,13 +10,14 @@
 /// being replaced.
 constexpr std::uint32_t ReservedConnections = 2;
 constexpr std::size_t MinimumShare = 2;
-/// Limit of the connections that may be open while statements wait, as a
-/// multiple of the host's share.
-constexpr std::size_t BorrowFactor = 2;
 constexpr std::size_t MaximumOpening = 2;
 constexpr Milliseconds OverloadedPause{300};
+/// Used while the host has no connection to the database at all.
+constexpr Milliseconds OverloadedPauseWithoutConnection{100};
 constexpr Milliseconds OpenTimeout{1500};
-constexpr Milliseconds BorrowedIdleTimeout{500};
+constexpr Milliseconds SurplusIdleTimeout{500};
+/// How long databases go on counting the connections of a host that lost power.
+constexpr Milliseconds LostConnectionLinger{3000};
 constexpr Milliseconds DrainingIdleTimeout{0};
 
 } // namespace
@@ -122,10 +123,25 @@
   const DatabaseConnections &Target = Found->second;
   if (Target.Opening >= MaximumOpening || Now < Target.OverloadedUntil)
     return false;
-  std::size_t Limit = shareOf(Database) * (Urgent ? BorrowFactor : 1);
+  bool IsRecovering = Now - StartedAt_ < LostConnectionLinger;
+  std::size_t Limit = IsRecovering ? baseOf(Database) : shareOf(Database);
+  if (Urgent)
+    Limit += std::min(Target.Pinned, Limit);
   return Target.Total < Limit;
 }
 
+std::size_t DatabasePool::baseOf(const DatabaseId &Database) const {
+  return std::max<std::size_t>(1, shareOf(Database) / 2);
+}
+
+void DatabasePool::pin(ConnectionId Connection) {
+  auto Found = Connections_.find(Connection);
+  if (Found == Connections_.end() || Found->second.State != UseState::Taken)
+    return;
+  Found->second.State = UseState::Pinned;
+  ++ConnectionsByDatabase_[Found->second.Database].Pinned;
+}
+
 void DatabasePool::open(const DatabaseId &Database, TimePoint Now) {
   const DatabaseInfo *Info = Table_.find(Database);
   if (!Info)
@@ -145,6 +161,8 @@
   if (Found == Connections_.end())
     return;
   Entry &Returned = Found->second;
+  if (Returned.State == UseState::Pinned)
+    --ConnectionsByDatabase_[Returned.Database].Pinned;
   Returned.State = UseState::Idle;
   Returned.Since = Now;
   if (!Table_.find(Returned.Database)) {
@@ -181,12 +199,17 @@
   --Target.Total;
   if (Closed.State == UseState::Opening)
     --Target.Opening;
+  if (Closed.State == UseState::Pinned)
+    --Target.Pinned;
   std::erase(Target.Idle, Connection);
   return Closed.Database;
 }
 
 void DatabasePool::onOverloaded(const DatabaseId &Database, TimePoint Now) {
-  ConnectionsByDatabase_[Database].OverloadedUntil = Now + OverloadedPause;
+  DatabaseConnections &Target = ConnectionsByDatabase_[Database];
+  bool HasNone = Target.Total == Target.Opening;
+  Target.OverloadedUntil =
+      Now + (HasNone ? OverloadedPauseWithoutConnection : OverloadedPause);
 }
 
 void DatabasePool::closeIdleConnections(const DatabaseId &Database) {
@@ -210,10 +233,10 @@
                    Now - Held.Since > DrainingIdleTimeout;
     auto [Count, Inserted] =
         Remaining.try_emplace(Held.Database, countOf(Held.Database));
-    bool Borrowed = Held.State == UseState::Idle &&
-                    Count->second > shareOf(Held.Database) &&
-                    Now - Held.Since > BorrowedIdleTimeout;
-    if (!Late && !Leaving && !Borrowed)
+    bool IsSurplus = Held.State == UseState::Idle &&
+                     Count->second > baseOf(Held.Database) &&
+                     Now - Held.Since > SurplusIdleTimeout;
+    if (!Late && !Leaving && !IsSurplus)
       continue;
     Surplus.push_back(Id);
     --Count->second;
--- a/packages/sessions/databasepool.h
+++ b/packages/sessions/databasepool.h
@@ -36,9 +36,14 @@
                                              const SessionVariables &Variables,
                                              const PreparedShape *Prepared);
 
-/// The connections of this host to the databases. Their number is limited to
-/// the host's share of each database's connection cap; when statements wait,
-/// the limit is exceeded for a short time.
+/// The connections of this host to the databases.
+///
+/// The host's share of a database's connection cap limits their number; while
+/// open transactions occupy connections, others may be opened in their place.
+/// Idle connections beyond half of the share are closed after a while: a
+/// database goes on counting the connections of hosts that lost power, and must
+/// have room for those that the hosts open when they are back. Until then,
+/// a host that was started opens no more than half of its share.
 class DatabasePool {
 public:
   struct Hooks {
@@ -48,6 +53,9 @@
 
   DatabasePool(const DatabaseTable &Table, Hooks Callbacks);
 
+  /// Sets when this host began to open connections.
+  void setStartedAt(TimePoint Started) { StartedAt_ = Started; }
+
   /// The host's share of a database's connections is computed from the number
   /// of hosts and the connection cap of the database's group.
   void setHosts(std::size_t LiveHosts) { LiveHosts_ = LiveHosts; }
@@ -58,13 +66,15 @@
   std::optional<ConnectionId> take(const DatabaseId &Database,
                                    const SessionVariables &Variables);
   bool hasIdle(const DatabaseId &Database) const;
-  /// True when another connection may be opened. Urgent: the host's share may
-  /// be exceeded.
+  /// True when another connection may be opened. Urgent: a statement waits, so
+  /// the share may be exceeded in place of connections with transactions.
   bool mayOpen(const DatabaseId &Database, bool Urgent, TimePoint Now) const;
   void open(const DatabaseId &Database, TimePoint Now);
   /// Puts a connection back into the pool. It must have no pending answer and
   /// no open transaction.
   void release(ConnectionId Connection, TimePoint Now);
+  /// A transaction is open on a connection that was taken.
+  void pin(ConnectionId Connection);
   /// Closes a connection, for example one with a pending answer.
   void drop(ConnectionId Connection);
 
@@ -80,7 +90,8 @@
   void closeIdleConnections(const DatabaseId &Database);
 
   /// Closes connections that were not opened in time, idle connections above
-  /// the host's share, and idle connections to a draining or removed database.
+  /// half of the host's share, and idle connections to a draining or removed
+  /// database.
   void tick(TimePoint Now);
 
   ConnectionProfile &profileOf(ConnectionId Connection);
@@ -91,7 +102,7 @@
   std::size_t shareOf(const DatabaseId &Database) const;
 
 private:
-  enum class UseState { Opening, Idle, Taken };
+  enum class UseState { Opening, Idle, Taken, Pinned };
   struct Entry {
     DatabaseId Database;
     UseState State = UseState::Opening;
@@ -101,12 +112,17 @@
   struct DatabaseConnections {
     std::vector<ConnectionId> Idle;
     std::size_t Opening = 0;
+    std::size_t Pinned = 0;
     std::size_t Total = 0;
     TimePoint OverloadedUntil;
   };
 
+  /// Number of connections that this host keeps open without need.
+  std::size_t baseOf(const DatabaseId &Database) const;
+
   const DatabaseTable &Table_;
   Hooks Hooks_;
+  TimePoint StartedAt_;
   std::size_t LiveHosts_ = 1;
   std::map<GroupId, std::uint32_t> Caps_;
   std::map<ConnectionId, Entry> Connections_;
--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -118,10 +118,13 @@
 }
 
 std::size_t HostTable::connectionHolders(TimePoint Now) const {
+  // A listed host without an address is a former one.
   return 1 + static_cast<std::size_t>(std::count_if(
                  Peers_.begin(), Peers_.end(), [&](const auto &Entry) {
-                   return Entry.second.HeardAt &&
-                          Now - *Entry.second.HeardAt < ConnectionLinger;
+                   const auto &[Name, Known] = Entry;
+                   if (!Known.HeardAt)
+                     return isListed(Name) && !Known.Address.empty();
+                   return Now - *Known.HeardAt < ConnectionLinger;
                  }));
 }
 
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -103,8 +103,9 @@
   bool allListedLive(TimePoint Now) const;
   /// The hosts of liveHosts that reach the store; always includes this one.
   std::vector<HostName> hostsReachingStore(TimePoint Now) const;
-  /// Number of hosts that may hold connections to databases: this one, and
-  /// those from which a message came lately.
+  /// Number of hosts that may hold connections to databases: this one, those
+  /// from which a message came lately, and listed ones that have not sent any
+  /// since this host was started.
   std::size_t connectionHolders(TimePoint Now) const;
   /// Latest answer of the database to a live host other than this one.
   std::optional<TimePoint> latestAnswerToOthers(const DatabaseId &Database,
--- a/packages/sessions/statementqueue.cpp
+++ b/packages/sessions/statementqueue.cpp
@@ -37,6 +37,16 @@
   return Found == Waiting_.end() ? 0 : Found->second.size();
 }
 
+std::size_t StatementQueue::countAhead(const GroupId &Group,
+                                       std::uint32_t Priority,
+                                       TimePoint ReceivedAt) const {
+  auto Found = Waiting_.find(Group);
+  if (Found == Waiting_.end())
+    return 0;
+  auto Behind = Found->second.lower_bound(Key{Priority, ReceivedAt, 0});
+  return static_cast<std::size_t>(std::distance(Found->second.begin(), Behind));
+}
+
 std::vector<GroupId> StatementQueue::groups() const {
   std::vector<GroupId> Groups;
   for (const auto &[Group, Entries] : Waiting_)
--- a/packages/sessions/statementqueue.h
+++ b/packages/sessions/statementqueue.h
@@ -18,6 +18,10 @@
   /// Queued sessions of a group, in the order in which they are to be started.
   std::vector<CallerSessionId> waitingFor(const GroupId &Group) const;
   std::size_t countOf(const GroupId &Group) const;
+  /// Number of queued sessions of the group that are to be started before one
+  /// with this priority and time of receipt.
+  std::size_t countAhead(const GroupId &Group, std::uint32_t Priority,
+                         TimePoint ReceivedAt) const;
   std::vector<GroupId> groups() const;
   std::size_t size() const { return Keys_.size(); }
 
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -1,5 +1,7 @@
 #include "sessions/statementrunner.h"
 
+#include "sessions/waitestimate.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -21,6 +23,9 @@
 /// Number of queued statements of a group that are examined when a connection
 /// becomes free.
 constexpr std::size_t MaximumScan = 32;
+/// A statement is queued only if it is expected to be answered before this
+/// fraction of its time is left, since service times vary.
+constexpr int QueueMargin = 4;
 
 bool hasNotRun(StatementCode Code) {
   switch (Code) {
@@ -68,41 +73,47 @@
   }
   if (tryStart(Task, Now))
     return;
-  if (std::optional<Milliseconds> Start = waitBeyondDeadline(Task, Now)) {
-    refuse(Task, *Start, Now);
-    return;
-  }
-  Queue_.add(Task.Work.Group, Session, Task.Work.Priority,
-             Task.Work.ReceivedAt);
+  enqueue(Task, Now);
 }
 
-/// Expected time until the statements queued for the group have been started,
-/// from the number of this host's connections and the databases' service times.
-Milliseconds StatementRunner::expectedWait(const StatementWork &Work) const {
-  double Pace = 0;
-  for (const DatabaseInfo *Info : Table_.membersOf(Work.Group)) {
-    double Connections = static_cast<double>(Pool_.countOf(Info->Listing.Id));
-    Pace += Connections / std::max(1.0, Info->ServiceMilliseconds);
+/// The margin makes it unlikely that a statement waits in the queue and is
+/// refused at last. A caller that is refused at once can come back in time.
+void StatementRunner::enqueue(Progress &Task, TimePoint Now) {
+  const StatementWork &Work = Task.Work;
+  std::size_t Ahead =
+      Queue_.countAhead(Work.Group, Work.Priority, Work.ReceivedAt);
+  TimePoint AnswerBy = Work.Deadline - (Work.Deadline - Now) / QueueMargin;
+  if (std::optional<Milliseconds> Start =
+          waitBeyond(AnswerBy, Task, Ahead, Now)) {
+    refuse(Task, *Start, Now);
+    return;
   }
-  double Ahead = static_cast<double>(Queue_.countOf(Work.Group));
-  if (Pace <= 0)
-    return Milliseconds{0};
-  return Milliseconds{static_cast<std::int64_t>(Ahead / Pace)};
+  Queue_.add(Work.Group, Work.Session, Work.Priority, Work.ReceivedAt);
 }
 
-std::optional<Milliseconds>
-StatementRunner::waitBeyondDeadline(const Progress &Task, TimePoint Now) const {
+/// Only the databases that may run the statement now count: idle connections
+/// to replicas that lag behind don't shorten the wait for the primary.
+std::optional<Milliseconds> StatementRunner::waitBeyond(TimePoint AnswerBy,
+                                                        const Progress &Task,
+                                                        std::size_t Ahead,
+                                                        TimePoint Now) const {
   const StatementWork &Work = Task.Work;
-  Milliseconds Wait = expectedWait(Work);
-  if (candidatesFor(Task.Work, Task.Avoided, Now).empty()) {
+  std::vector<PlacementCandidate> Candidates =
+      candidatesFor(Work, Task.Avoided, Now);
+  if (Candidates.empty()) {
     std::optional<Milliseconds> Leader =
         Hooks_.LeaderExpectedIn(Work.Group, Now);
-    if (Leader)
-      Wait = std::max(Wait, *Leader);
-  }
-  if (Now + Wait <= Work.Deadline)
+    return Leader && Now + *Leader > AnswerBy ? Leader : std::nullopt;
+  }
+  std::vector<DatabaseCapacity> Capacities;
+  for (const PlacementCandidate &Candidate : Candidates)
+    Capacities.push_back(
+        {Pool_.countOf(Candidate.Database),
+         Table_.find(Candidate.Database)->ServiceMilliseconds});
+  std::optional<WaitEstimate> Wait = estimateWait(Ahead, Capacities);
+  if (!Wait || Now + Wait->Answer <= AnswerBy)
     return std::nullopt;
-  return Wait;
+  return Wait->Start;
 }
 
 void StatementRunner::refuse(Progress &Task, Milliseconds RetryAfter,
@@ -431,6 +442,7 @@
     return;
   }
   Connections_[Task.Connection].InTransaction = true;
+  Pool_.pin(Task.Connection);
   forward(Task, Now);
 }
 
@@ -544,12 +556,7 @@
   // A database that refused the statement may accept it later. One that is
   // behind is excluded for a while by its LaggingUntil time.
   Task.Avoided.clear();
-  if (std::optional<Milliseconds> Start = waitBeyondDeadline(Task, Now)) {
-    refuse(Task, *Start, Now);
-    return;
-  }
-  Queue_.add(Task.Work.Group, Task.Work.Session, Task.Work.Priority,
-             Task.Work.ReceivedAt);
+  enqueue(Task, Now);
 }
 
 /// Releases the statement's connection, after a rollback if a transaction is
@@ -700,13 +707,21 @@
   return Oldest;
 }
 
+/// Refusing a statement shortens the wait of those behind it.
 void StatementRunner::refuseExpectedLate(TimePoint Now) {
   std::vector<std::pair<CallerSessionId, Milliseconds>> Refused;
-  for (const auto &[Session, Task] : Statements_) {
-    if (Task.CurrentStage != Stage::Waiting || Now >= Task.Work.Deadline)
-      continue;
-    if (std::optional<Milliseconds> Start = waitBeyondDeadline(Task, Now))
-      Refused.emplace_back(Session, *Start);
+  for (const GroupId &Group : Queue_.groups()) {
+    std::size_t Ahead = 0;
+    for (CallerSessionId Session : Queue_.waitingFor(Group)) {
+      auto Task = Statements_.find(Session);
+      if (Task == Statements_.end() || Now >= Task->second.Work.Deadline)
+        continue;
+      TimePoint Deadline = Task->second.Work.Deadline;
+      if (auto Start = waitBeyond(Deadline, Task->second, Ahead, Now))
+        Refused.emplace_back(Session, *Start);
+      else
+        ++Ahead;
+    }
   }
   for (const auto &[Session, Start] : Refused)
     if (auto Task = Statements_.find(Session); Task != Statements_.end())
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -140,11 +140,15 @@
   std::vector<PlacementCandidate>
   candidatesFor(const StatementWork &Work, const std::set<DatabaseId> &Avoided,
                 TimePoint Now) const;
-  /// Expected wait until the statement can start, if that is after its
-  /// deadline; nothing otherwise.
-  std::optional<Milliseconds> waitBeyondDeadline(const Progress &Task,
-                                                 TimePoint Now) const;
-  Milliseconds expectedWait(const StatementWork &Work) const;
+  /// Expected wait until the statement can start behind Ahead queued ones, if
+  /// it is not expected to be answered by AnswerBy; nothing otherwise.
+  std::optional<Milliseconds> waitBeyond(TimePoint AnswerBy,
+                                         const Progress &Task,
+                                         std::size_t Ahead,
+                                         TimePoint Now) const;
+  /// Queues the statement, or refuses it if it is expected to be answered too
+  /// late.
+  void enqueue(Progress &Task, TimePoint Now);
   void refuse(Progress &Task, Milliseconds RetryAfter, TimePoint Now);
 
   void onBegun(Progress &Task, const StatementAnswer &Answer, TimePoint Now);
--- a/tests/sessions/hosttabletest.cpp
+++ b/tests/sessions/hosttabletest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(requiresEveryListedHostToFollow);
   CPPUNIT_TEST(resetsTheRevisionsOfARestartedHost);
   CPPUNIT_TEST(requiresAHostListReadAfterTheClaim);
+  CPPUNIT_TEST(countsListedHostsAsConnectionHolders);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
@@ -77,6 +78,20 @@
     Table_.onMessage(makeMessage(1, 1, 5), Now_);
     CPPUNIT_ASSERT(!Table_.allAtRevision("g", 5, Now_ + Milliseconds{1}));
   }
+
+  // Guards against a host that was started and takes all connections of a
+  // database, because it has not heard of the others yet.
+  void countsListedHostsAsConnectionHolders() {
+    Table_.applyListed({{"self", {"x", "", ""}},
+                        {"peer", {"y", "", ""}},
+                        {"silent", {"z", "", ""}},
+                        {"former", {"", "", ""}}},
+                       Now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Table_.connectionHolders(Now_));
+    Table_.onMessage(makeMessage(1, 1, 5), Now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                         Table_.connectionHolders(Now_ + Milliseconds{4000}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostTableTest);
