Serve through other hosts when started while the store is away

Cause: a host that is started lists the member slots before it does anything else.

Change: until a host has a list, hosts from which it hears count as members, since only members send observations. It relays to them and has its configuration from them; it uses no leadership itself.

The simulation registers a host only once the store has listed it, as the adapter does.

--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -37,6 +37,10 @@
   return std::find(Listed_.begin(), Listed_.end(), Host) != Listed_.end();
 }
 
+bool HostTable::isMember(const HostName &Host, TimePoint Now) const {
+  return ListedAt_ ? isListed(Host) : isLive(Host, Now);
+}
+
 bool HostTable::allAtRevision(const GroupId &Group, std::uint64_t Revision,
                               TimePoint Since) const {
   if (!ListedAt_ || *ListedAt_ < Since)
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -82,6 +82,9 @@
   void applyListed(const std::map<HostName, ListedHost> &Hosts,
                    TimePoint BegunAt);
   bool isListed(const HostName &Host) const;
+  /// True for a host that holds connections to databases: it is listed, or,
+  /// while this host has no list, it sends messages, which only such hosts do.
+  bool isMember(const HostName &Host, TimePoint Now) const;
   /// True when every host that could use an older record of the group is known
   /// to use the given revision or a later one. The list of hosts must be from a
   /// read that began at or after Since, when the revision was already written:
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -109,13 +109,13 @@
   return Peer.Region == Region_ ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-/// The nearest available host of the platform's list; among equally near ones
-/// the one with the fewest statements relayed from this host.
+/// The nearest available member; among equally near ones the one with the
+/// fewest statements relayed from this host.
 std::optional<HostName> StatementRouter::nearestMember(TimePoint Now) const {
   std::optional<HostName> Best;
   std::tuple<Distance, std::size_t> Least;
   for (const auto &[Name, Peer] : Hosts_.peers()) {
-    if (!Hosts_.isListed(Name) || Peer.Leaving || isAvoided(Name, Now))
+    if (!Hosts_.isMember(Name, Now) || Peer.Leaving || isAvoided(Name, Now))
       continue;
     auto Load = Load_.find(Name);
     std::tuple<Distance, std::size_t> Cost{
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -36,7 +36,8 @@
 
   void setLocation(ZoneName Zone, RegionName Region);
   /// Sets whether this host holds connections to databases itself, which is the
-  /// default. If it does not, queued statements are relayed to another host.
+  /// default. If it does not, statements are relayed to another host, queued
+  /// ones as well.
   void setServesDatabases(bool Serves, TimePoint Now);
 
   /// Starts a statement. The session must have no other statement in progress.
--- a/tests/sessions/relayservicetest.cpp
+++ b/tests/sessions/relayservicetest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(endsATransactionWhoseCommitIsRefused);
   CPPUNIT_TEST(fetchesNewerConfigurationsFromAMember);
   CPPUNIT_TEST(membersFetchConfigurationsFromEachOther);
+  CPPUNIT_TEST(servesThroughMembersWhenStartedWithoutTheStore);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -266,6 +267,25 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(7),
                          Sim->engine(1).sessions().configuration().Version);
   }
+
+  // Guards against a host that is started while the store is away and serves
+  // nothing until it can be listed, although other hosts serve.
+  void servesThroughMembersWhenStartedWithoutTheStore() {
+    Simulation Sim(1, 3);
+    Sim.run(Milliseconds{2500});
+    Sim.setStoreDown(true);
+    Sim.restartHost(Entry);
+    Sim.run(Milliseconds{400});
+    CallerSessionId Id = Sim.open(Entry, "primary");
+    CPPUNIT_ASSERT(Sim.ask(Entry, Id, Verb::Write).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                         Sim.engine(Entry).runner().connections());
+    Sim.setStoreDown(false);
+    Sim.run(Milliseconds{3000});
+    CPPUNIT_ASSERT(Sim.ask(Entry, Id, Verb::Write).Code == Code::Done);
+    CPPUNIT_ASSERT(Sim.engine(Entry).runner().connections() > 0);
+    CPPUNIT_ASSERT(Sim.violations().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayServiceTest);
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -74,6 +74,8 @@
   std::unique_ptr<SessionEngine> Engine;
   std::map<ConnectionId, std::shared_ptr<DatabaseConnection>> Connections;
   bool Registered = false;
+  /// The store has listed the host.
+  bool Listed = false;
   bool Reading = false;
   TimePoint ReadAt;
   TimePoint GossipAt;
@@ -369,7 +371,8 @@
   AddRoute("bounded", ConsistencyMode::BoundedStaleness, BoundedAge);
   AddRoute("own", ConsistencyMode::ReadYourWrites, ReadYourWritesAge);
   At.Engine->applyConfiguration(Configuration);
-  At.Engine->setMember(isMember(Index), Now_);
+  At.Engine->setMember(false, Now_);
+  At.Listed = false;
   if (isMember(Index))
     At.Engine->applyDatabases(listings(), ListRevision_, Now_);
   std::uint64_t Incarnation = At.Incarnation;
@@ -443,7 +446,10 @@
           if (isMember(Index))
             Registered_[Name] = {Name, "zone", "region"};
           return [this, Index] {
-            Hosts_[Index]->Engine->applyHosts(Registered_, Now_);
+            Host &Applied = *Hosts_[Index];
+            Applied.Engine->applyHosts(Registered_, Now_);
+            Applied.Engine->setMember(isMember(Index), Now_);
+            Applied.Listed = isMember(Index);
             if (isMember(Index))
               readRecords(Index);
           };
@@ -455,12 +461,12 @@
       At.ReadAt = Now_;
       At.Registered = false;
     }
-  } else if (!At.Reading && Now_ - At.ReadAt > Milliseconds{300} &&
+  } else if (At.Listed && !At.Reading && Now_ - At.ReadAt > Milliseconds{300} &&
              !At.Engine->hosts().peers().empty()) {
     readRecords(Index);
   }
   At.Engine->tick(Now_);
-  if (isMember(Index) && Now_ - At.GossipAt > Milliseconds{200})
+  if (At.Listed && Now_ - At.GossipAt > Milliseconds{200})
     gossip(Index);
   atHost(Index, Milliseconds{50},
          [this, Index, Incarnation] { tickHost(Index, Incarnation); });
