Survive unexpected errors and exhausted file descriptors

An exception that left any handler ended the process: main caught it only to exit, and all callers' sessions ended with it. 2. After a failed accept the servers for callers and relays tried again at once. Without a free descriptor the waiting connection stays readable, so the loop used the whole processor.

--- a/packages/nutmegloomd/daemon.cpp
+++ b/packages/nutmegloomd/daemon.cpp
@@ -6,6 +6,7 @@
 #include "nutmegloomd/peerlinks.h"
 #include "nutmegloomd/platformwatch.h"
 #include "nutmegloomd/statuspage.h"
+#include "protocol/eventloop.h"
 #include "telemetry/events.h"
 
 #include <boost/asio/io_context.hpp>
@@ -301,6 +302,9 @@
   Timer_.async_wait([this](error_code Cancelled) {
     if (Cancelled)
       return;
+    // Restarted first, so that an unexpected error below does not end the
+    // ticks.
+    startTimer();
     TimePoint Now = currentTime();
     Core_->tick(Now);
     Platform_.tick(Now);
@@ -309,7 +313,6 @@
       logStateChanges(Now);
     }
     checkDrain(Now);
-    startTimer();
   });
 }
 
@@ -427,8 +430,10 @@
             {"callers", std::get<std::string>(CallerPort)},
             {"peers", Self.PeerAddress}});
   startTimer();
-  Io_.run();
-  return 0;
+  bool Stopped = runEventLoop(Io_, currentTime, [](std::string_view Detail) {
+    logEvent(LogEvent::UnexpectedError, {{"detail", Detail}});
+  });
+  return Stopped ? 0 : 1;
 }
 
 Daemon::Daemon(HostSettings Settings)
--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -23,48 +23,31 @@
 } // namespace
 
 RelayLinks::RelayLinks(asio::io_context &Io, Hooks Callbacks)
-    : Io_(Io), Acceptor_(Io), Hooks_(std::move(Callbacks)) {}
+    : Io_(Io), Acceptor_(Io, Framing::LengthPrefixed, AcceptBacklog,
+                         [this](std::shared_ptr<MessageStream> Stream) {
+                           onAccepted(std::move(Stream));
+                         }),
+      Hooks_(std::move(Callbacks)) {}
 
 std::string RelayLinks::listen(const std::string &Ip, std::uint16_t Port) {
   boost::system::error_code Error;
   tcp::endpoint Local(asio::ip::make_address(Ip, Error), Port);
-  if (!Error)
-    Acceptor_.open(tcp::v4(), Error);
-  if (!Error)
-    Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Acceptor_.bind(Local, Error);
-  if (!Error)
-    Acceptor_.listen(AcceptBacklog, Error);
-  if (Error)
-    return Error.message();
-  accept();
-  return {};
+  return Error ? Error.message() : Acceptor_.listen(Local);
 }
 
-void RelayLinks::accept() {
-  Acceptor_.async_accept([this](auto Error, tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
-      return;
-    if (!Error) {
-      IncomingRelayId Link = ++LastLink_;
-      auto Stream =
-          MessageStream::create(std::move(Socket), Framing::LengthPrefixed);
-      Incoming_[Link] = Stream;
-      Stream->start(
-          {[this, Link](std::string_view Bytes) { onRequest(Link, Bytes); },
-           [this, Link] {
-             if (Incoming_.erase(Link) > 0)
-               Hooks_.Closed(Link);
-           }});
-    }
-    accept();
-  });
+void RelayLinks::onAccepted(std::shared_ptr<MessageStream> Stream) {
+  IncomingRelayId Link = ++LastLink_;
+  Incoming_[Link] = Stream;
+  Stream->start(
+      {[this, Link](std::string_view Bytes) { onRequest(Link, Bytes); },
+       [this, Link] {
+         if (Incoming_.erase(Link) > 0)
+           Hooks_.Closed(Link);
+       }});
 }
 
 void RelayLinks::stopAccepting() {
-  boost::system::error_code Ignored;
-  Acceptor_.close(Ignored);
+  Acceptor_.stop();
   for (auto &[Link, Stream] : std::exchange(Incoming_, {}))
     Stream->close();
 }
--- a/packages/protocol/relaylinks.h
+++ b/packages/protocol/relaylinks.h
@@ -1,7 +1,7 @@
 #ifndef NUTMEGLOOM_PROTOCOL_RELAYLINKS_H
 #define NUTMEGLOOM_PROTOCOL_RELAYLINKS_H
 
-#include "protocol/messagestream.h"
+#include "protocol/streamacceptor.h"
 #include "sessions/relaymessages.h"
 
 #include <map>
@@ -58,7 +58,7 @@
     std::uint64_t Attempt = 0;
   };
 
-  void accept();
+  void onAccepted(std::shared_ptr<MessageStream> Stream);
   void connect(const HostName &Host, const std::string &Address);
   void onConnected(const HostName &Host, std::uint64_t Attempt,
                    const std::shared_ptr<MessageStream> &Stream);
@@ -68,7 +68,7 @@
   void disconnectAndReport(const HostName &Host);
 
   boost::asio::io_context &Io_;
-  boost::asio::ip::tcp::acceptor Acceptor_;
+  StreamAcceptor Acceptor_;
   Hooks Hooks_;
   std::map<HostName, Outgoing> Outgoing_;
   std::map<IncomingRelayId, std::shared_ptr<MessageStream>> Incoming_;
--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<LogEventEntry, 32> Events{{
+constexpr std::array<LogEventEntry, 33> Events{{
     {LogEvent::HostStarted, LogLevel::Info, "host_started",
      "the host has started"},
     {LogEvent::HostReady, LogLevel::Info, "host_ready",
@@ -29,6 +29,8 @@
      "the graceful stop has reached its time limit with work in progress"},
     {LogEvent::ListenFailed, LogLevel::Error, "listen_failed",
      "a port cannot be opened"},
+    {LogEvent::UnexpectedError, LogLevel::Error, "unexpected_error",
+     "an unexpected error has ended the handling of one event"},
     {LogEvent::ConfigurationApplied, LogLevel::Info, "configuration_applied",
      "a configuration version is in force"},
     {LogEvent::ConfigurationRefused, LogLevel::Error, "configuration_refused",
--- a/packages/telemetry/events.h
+++ b/packages/telemetry/events.h
@@ -25,6 +25,7 @@
   DrainFinished = 1005,
   DrainTimedOut = 1006,
   ListenFailed = 1007,
+  UnexpectedError = 1008,
   ConfigurationApplied = 1101,
   ConfigurationRefused = 1102,
   StoreUnreachable = 1103,
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -1,4 +1,6 @@
 #include "platform/platformhost.h"
+#include "protocol/hostobservationcodec.h"
+#include "protocol/relaycodec.h"
 #include "telemetry/events.h"
 #include "testing/standinsessions/objectapi.h"
 #include "testing/standinsessions/sessiondatabases.h"
@@ -6,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <random>
 #include <sstream>
 
 namespace nutmegloom {
@@ -55,6 +58,7 @@
   CPPUNIT_TEST(servesWhileTheStoreIsUnreachable);
   CPPUNIT_TEST(acceptsNoSessionOnceItHasFinished);
   CPPUNIT_TEST(answersStatementsInProgressBeforeItExits);
+  CPPUNIT_TEST(servesWhileMalformedMessagesArrive);
   CPPUNIT_TEST_SUITE_END();
 
   /// Leaves 400 ms for ending transactions.
@@ -71,6 +75,9 @@
                             }};
   std::unique_ptr<PlatformHost> Host_;
   std::string CallerAddress_;
+  /// Addresses of all ports on which the host listens.
+  std::vector<std::string> TcpAddresses_;
+  std::string PeerAddress_;
   std::ostringstream Log_;
 
   static std::string freeAddress(asio::io_context &Io) {
@@ -123,6 +130,9 @@
     Settings.StoreAddress = Store_.address();
     Settings.PromotionAddress = Store_.address();
     Settings.StopGrace = StopGrace;
+    PeerAddress_ = "127.0.0.1:" + std::to_string(Settings.PeerPort);
+    TcpAddresses_ = {CallerAddress_, Settings.ReadinessAddress, PeerAddress_,
+                     "127.0.0.1:" + std::to_string(Settings.MetricsPort)};
     Host_ = std::make_unique<PlatformHost>(Io_, Settings);
     CPPUNIT_ASSERT(Host_->start());
   }
@@ -275,6 +285,69 @@
     CPPUNIT_ASSERT(!Caller->Lines.empty());
     CPPUNIT_ASSERT(Caller->Lines[0].starts_with("ERROR INDOUBT"));
   }
+
+  /// A valid message of each kind of protocol.
+  static std::vector<std::string> validMessages() {
+    RelayedStatement Statement;
+    Statement.Work.Session = 5;
+    Statement.Work.Group = "g";
+    Statement.Work.Command.Text = "WRITE x data";
+    std::string Relay = encodeRelayMessage(Statement);
+    std::string Length(4, '\0');
+    Length[0] = static_cast<char>(Relay.size());
+    HostObservation Observation;
+    Observation.Host = "h2";
+    Observation.Groups.resize(2);
+    Observation.Groups[0].Record.Group = "g";
+    return {"START d1 me\r\nQUERY q WRITE x data\r\n", Length + Relay,
+            encodeObservation(Observation),
+            "GET /v1/readiness HTTP/1.1\r\nHost: h\r\n\r\n"};
+  }
+
+  /// Changes some bytes, cuts the message short, or makes it much longer.
+  static std::string damaged(std::string Message, std::mt19937 &Random) {
+    for (std::size_t Count = Random() % 8; Count > 0; --Count)
+      Message[Random() % Message.size()] = static_cast<char>(Random());
+    if (Random() % 3 == 0)
+      Message.resize(Random() % Message.size());
+    if (Random() % 16 == 0)
+      Message += std::string(2 * MaximumLineBytes, 'x');
+    return Message;
+  }
+
+  void sendToAllPorts(const std::string &Bytes) {
+    for (const std::string &Address : TcpAddresses_) {
+      tcp::socket Socket(Io_);
+      boost::system::error_code Ignored;
+      Socket.connect(*endpointOf(Address), Ignored);
+      Socket.non_blocking(true);
+      Socket.send(asio::buffer(Bytes), 0, Ignored);
+      Io_.poll();
+    }
+    asio::ip::udp::socket Sender(Io_, asio::ip::udp::v4());
+    tcp::endpoint To = *endpointOf(PeerAddress_);
+    boost::system::error_code Ignored;
+    Sender.send_to(asio::buffer(Bytes.substr(0, 60000)),
+                   asio::ip::udp::endpoint(To.address(), To.port()), 0,
+                   Ignored);
+    Io_.poll();
+  }
+
+  // Guards against one malformed message that ends the process or the sessions
+  // of other callers. An exception would leave Io_.poll().
+  void servesWhileMalformedMessagesArrive() {
+    auto Caller = connect("d1");
+    std::mt19937 Random(20261204);
+    std::vector<std::string> Valid = validMessages();
+    for (int Round = 0; Round < 200; ++Round) {
+      sendToAllPorts(damaged(Valid[Random() % Valid.size()], Random));
+      if (Round % 20 == 0)
+        CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                             ask(*Caller, "QUERY q READ x")[1]);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*connect("d1"), "QUERY q READ x")[1]);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformHostTest);
