Spread relaying hosts over the members, and wait for a leader in time

Cause 1: among equally near members every host chose the one whose name comes first for its pings, and so for its configuration.

Change: equally near members are taken in the order of this host's rendezvous hash; the time to a leader is compared with the deadline itself.

--- a/packages/sessions/relayedsessions.h
+++ b/packages/sessions/relayedsessions.h
@@ -41,6 +41,8 @@
   void onFinished(CallerSessionId Session, StatementResult Result);
   void onTransactionLost(CallerSessionId Session);
 
+  /// Number of connections on which messages of other hosts have come.
+  std::size_t links() const { return HeardAt_.size(); }
   std::size_t size() const { return Sessions_.size(); }
 
 private:
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -1,5 +1,6 @@
 #include "sessions/statementrouter.h"
 
+#include "core/rendezvous.h"
 #include "sessions/relayedsessions.h"
 
 #include <algorithm>
@@ -109,10 +110,11 @@
   return Peer.Region == Region_ ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-/// The nearest available member; among equally near ones the one with the
-/// fewest statements relayed from this host.
+/// The nearest available member with the fewest statements relayed from this
+/// host. Hosts prefer different ones among equals, since all of them would
+/// otherwise connect to the same one at the same time.
 std::optional<HostName> StatementRouter::nearestMember(TimePoint Now) const {
-  std::optional<HostName> Best;
+  std::vector<HostName> Best;
   std::tuple<Distance, std::size_t> Least;
   for (const auto &[Name, Peer] : Hosts_.peers()) {
     if (!Hosts_.isMember(Name, Now) || Peer.Leaving || isAvoided(Name, Now))
@@ -120,12 +122,17 @@
     auto Load = Load_.find(Name);
     std::tuple<Distance, std::size_t> Cost{
         distanceTo(Peer), Load == Load_.end() ? 0 : Load->second};
-    if (Best && Cost >= Least)
+    if (!Best.empty() && Cost > Least)
       continue;
-    Best = Name;
+    if (Cost < Least)
+      Best.clear();
+    Best.push_back(Name);
     Least = Cost;
   }
-  return Best;
+  if (Best.empty())
+    return std::nullopt;
+  return Best.size() == 1 ? Best.front()
+                          : rankHosts(Hosts_.self(), Best).front();
 }
 
 /// The nearest host that the group's leader has answered lately, if the leader
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -103,7 +103,7 @@
   if (Candidates.empty()) {
     std::optional<Milliseconds> Leader =
         Hooks_.LeaderExpectedIn(Work.Group, Now);
-    return Leader && Now + *Leader > AnswerBy ? Leader : std::nullopt;
+    return Leader && Now + *Leader > Work.Deadline ? Leader : std::nullopt;
   }
   std::vector<DatabaseCapacity> Capacities;
   for (const PlacementCandidate &Candidate : Candidates)
--- a/tests/sessions/relayservicetest.cpp
+++ b/tests/sessions/relayservicetest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(fetchesNewerConfigurationsFromAMember);
   CPPUNIT_TEST(membersFetchConfigurationsFromEachOther);
   CPPUNIT_TEST(servesThroughMembersWhenStartedWithoutTheStore);
+  CPPUNIT_TEST(spreadsIdleHostsOverMembers);
   CPPUNIT_TEST_SUITE_END();
 
   using Code = StatementCode;
@@ -286,6 +287,17 @@
     CPPUNIT_ASSERT(Sim.engine(Entry).runner().connections() > 0);
     CPPUNIT_ASSERT(Sim.violations().empty());
   }
+
+  // Guards against hosts without statements that all depend on the same member,
+  // which then sends the configuration to each of them.
+  void spreadsIdleHostsOverMembers() {
+    Simulation Sim(1, 22, 2);
+    Sim.run(Milliseconds{4000});
+    std::size_t First = Sim.engine(0).relayed().links();
+    std::size_t Second = Sim.engine(1).relayed().links();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(20), First + Second);
+    CPPUNIT_ASSERT(First >= 5 && Second >= 5);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayServiceTest);
