Keep slow links that carry a large configuration, and request it once

A host that lacks a configuration asked for it each 0.6 s, also while it was on its way; each request made the member send all of it once more. 2. A ping whose answer waits behind a large message for 0.7 s closed the connection, on which the message was then sent again from its beginning.

Change: a configuration is requested again only after its connection was lost or after 5 s; parts of a message that arrive count as a sign of life.

A caller of PlatformHostTest that was destroyed before its stream, found by the address sanitizer, closes it now.

--- a/packages/protocol/messagestream.cpp
+++ b/packages/protocol/messagestream.cpp
@@ -149,6 +149,8 @@
     return;
   }
   IncompleteInput_.assign(Input);
+  if (!IncompleteInput_.empty() && Functions_.Progress)
+    Functions_.Progress();
 }
 
 void MessageStream::writeMessage(std::string_view Message) {
--- a/packages/protocol/messagestream.h
+++ b/packages/protocol/messagestream.h
@@ -36,6 +36,8 @@
     /// Called once if the peer closes the connection, the connection fails,
     /// the input is malformed or a size limit is exceeded.
     std::function<void()> Closed;
+    /// Called when a part of a message has arrived; optional.
+    std::function<void()> Progress = nullptr;
   };
 
   static std::shared_ptr<MessageStream>
--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -126,7 +126,8 @@
          auto Known = Outgoing_.find(Host);
          if (Known != Outgoing_.end() && Known->second.Attempt == Attempt)
            disconnectAndReport(Host);
-       }});
+       },
+       [this, Host] { Hooks_.Progress(Host); }});
   for (const std::string &Bytes : std::exchange(Opened.Waiting, {}))
     Stream->writeMessage(Bytes);
 }
--- a/packages/protocol/relaylinks.h
+++ b/packages/protocol/relaylinks.h
@@ -17,6 +17,8 @@
     /// A message arrived on a connection that this host has opened.
     std::function<void(const HostName &, const RelayMessage &)>
         ResponseReceived;
+    /// A part of a message arrived on a connection that this host has opened.
+    std::function<void(const HostName &)> Progress;
     /// A connection that this host has opened was lost, or could not be
     /// opened.
     std::function<void(const HostName &, bool WasOpen)> Disconnected;
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -14,6 +14,9 @@
 constexpr Milliseconds ProbeDelay{350};
 constexpr Milliseconds ProbeInterval{300};
 constexpr Milliseconds ConfigurationAskInterval{600};
+/// Time for a configuration to arrive while the connection on which it was
+/// requested works.
+constexpr Milliseconds ConfigurationTransferTimeout{5000};
 
 Milliseconds ageOf(TimePoint Moment, TimePoint Now) {
   return std::chrono::ceil<Milliseconds>(Now - Moment);
@@ -52,7 +55,11 @@
                          }}),
       Router_(
           Runner_, Table_, Authority_, Hosts_,
-          {Hooks_.AskHost, Hooks_.CloseRelay,
+          {Hooks_.AskHost,
+           [this](const HostName &Host) {
+             forgetConfigurationSource(Host);
+             Hooks_.CloseRelay(Host);
+           },
            [this](CallerSessionId Session, StatementResult Result,
                   TimePoint Now) {
              Proxy_.onFinished(Session, std::move(Result), Now);
@@ -82,13 +89,18 @@
 }
 
 /// A configuration is fetched from a host that has it rather than from the
-/// store: it is large, and many hosts need it at the same time.
+/// store: it is large, and many hosts need it at the same time. While one is on
+/// its way over a slow link it is not requested again, which would make the
+/// link slower still.
 void SessionEngine::onConfigurationSeen(const HostName &Host,
                                         std::uint64_t Version, TimePoint Now) {
+  Milliseconds Interval = ConfigurationSource_ ? ConfigurationTransferTimeout
+                                               : ConfigurationAskInterval;
   if (Version <= Proxy_.configuration().Version ||
-      Now - ConfigurationAskedAt_ < ConfigurationAskInterval)
+      Now - ConfigurationAskedAt_ < Interval)
     return;
   ConfigurationAskedAt_ = Now;
+  ConfigurationSource_ = Host;
   Hooks_.AskHost(Host, ConfigurationRequest{});
 }
 
@@ -100,11 +112,25 @@
       onConfigurationSeen(Name, Peer.ConfigurationVersion, Now);
 }
 
+void SessionEngine::forgetConfigurationSource(const HostName &Host) {
+  if (ConfigurationSource_ == Host)
+    ConfigurationSource_.reset();
+}
+
+void SessionEngine::onLinkLost(const HostName &Host, bool WasOpen,
+                               TimePoint Now) {
+  forgetConfigurationSource(Host);
+  Router_.onLinkLost(Host, WasOpen, Now);
+}
+
 void SessionEngine::onRelayAnswer(const HostName &Host,
                                   const RelayMessage &Message, TimePoint Now) {
   Router_.onReceived(Host, Message, Now);
   const auto *Received = std::get_if<SessionConfiguration>(&Message);
-  if (!Received || !applyConfiguration(*Received))
+  if (!Received)
+    return;
+  ConfigurationSource_.reset();
+  if (!applyConfiguration(*Received))
     return;
   // A later version may be requested without waiting for the interval.
   ConfigurationAskedAt_ = TimePoint{};
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -357,12 +357,12 @@
   std::vector<HostName> Unresponsive;
   for (const auto &[Host, Interval] : Needed) {
     Health &Known = Health_[Host];
-    if (Known.AwaitsAnswer && Now - Known.PingedAt > PingTimeout) {
+    TimePoint ActiveAt = std::max(Known.HeardAt, Known.PingedAt);
+    if (Known.AwaitsAnswer && Now - ActiveAt > PingTimeout) {
       Unresponsive.push_back(Host);
       continue;
     }
-    if (Known.AwaitsAnswer ||
-        Now - std::max(Known.HeardAt, Known.PingedAt) < Interval)
+    if (Known.AwaitsAnswer || Now - ActiveAt < Interval)
       continue;
     Known.AwaitsAnswer = true;
     Known.PingedAt = Now;
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -53,6 +53,11 @@
 
   void onReceived(const HostName &Host, const RelayMessage &Message,
                   TimePoint Now);
+  /// A part of a large message of the host has arrived, so the connection works
+  /// although other messages wait behind this one.
+  void onProgress(const HostName &Host, TimePoint Now) {
+    Health_[Host].HeardAt = Now;
+  }
   /// Handles the loss of the connection to a host. WasOpen is false if it could
   /// not be opened, in which case nothing was sent.
   void onLinkLost(const HostName &Host, bool WasOpen, TimePoint Now);
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -29,6 +29,11 @@
                     [this] { Closed = true; }});
   }
 
+  /// The stream outlives the caller until its last operation has ended.
+  ~TestCaller() { Stream_->close(); }
+  TestCaller(const TestCaller &) = delete;
+  TestCaller &operator=(const TestCaller &) = delete;
+
   void send(const std::string &Line) { Stream_->write(Line + "\r\n"); }
   /// Returns true once the latest answer is complete.
   bool isReady() const {
