Don't use a connection's entry after it was closed

Cause, found by the address sanitizer in DatabasePoolTest::countsAConnectionOf- ARemovedDatabaseOnce: when a database was removed from the list while a connection to it opened, the pool closed the connection and then read its freed entry. In a process this could end the host with all its sessions.

Test: the same one under tools/sanitize; it failed before.

--- a/packages/sessions/databasepool.cpp
+++ b/packages/sessions/databasepool.cpp
@@ -184,9 +184,11 @@
   auto Found = Connections_.find(Connection);
   if (Found == Connections_.end())
     return std::nullopt;
-  --ConnectionsByDatabase_[Found->second.Database].Opening;
+  // release() closes a connection to a database that was removed meanwhile.
+  DatabaseId Database = Found->second.Database;
+  --ConnectionsByDatabase_[Database].Opening;
   release(Connection, Now);
-  return Found->second.Database;
+  return Database;
 }
 
 std::optional<DatabaseId> DatabasePool::onClosed(ConnectionId Connection) {
