Watch the connection on which a configuration is awaited

A host that had lost power since it was asked for its configuration was waited for for up to 5 s, since only connections with statements were pinged. The router keeps the source now and pings it.

--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -55,11 +55,7 @@
                          }}),
       Router_(
           Runner_, Table_, Authority_, Hosts_,
-          {Hooks_.AskHost,
-           [this](const HostName &Host) {
-             forgetConfigurationSource(Host);
-             Hooks_.CloseRelay(Host);
-           },
+          {Hooks_.AskHost, Hooks_.CloseRelay,
            [this](CallerSessionId Session, StatementResult Result,
                   TimePoint Now) {
              Proxy_.onFinished(Session, std::move(Result), Now);
@@ -94,13 +90,14 @@
 /// link slower still.
 void SessionEngine::onConfigurationSeen(const HostName &Host,
                                         std::uint64_t Version, TimePoint Now) {
-  Milliseconds Interval = ConfigurationSource_ ? ConfigurationTransferTimeout
-                                               : ConfigurationAskInterval;
+  Milliseconds Interval = Router_.awaitsConfiguration()
+                              ? ConfigurationTransferTimeout
+                              : ConfigurationAskInterval;
   if (Version <= Proxy_.configuration().Version ||
       Now - ConfigurationAskedAt_ < Interval)
     return;
   ConfigurationAskedAt_ = Now;
-  ConfigurationSource_ = Host;
+  Router_.awaitConfiguration(Host);
   Hooks_.AskHost(Host, ConfigurationRequest{});
 }
 
@@ -112,24 +109,13 @@
       onConfigurationSeen(Name, Peer.ConfigurationVersion, Now);
 }
 
-void SessionEngine::forgetConfigurationSource(const HostName &Host) {
-  if (ConfigurationSource_ == Host)
-    ConfigurationSource_.reset();
-}
-
-void SessionEngine::onLinkLost(const HostName &Host, bool WasOpen,
-                               TimePoint Now) {
-  forgetConfigurationSource(Host);
-  Router_.onLinkLost(Host, WasOpen, Now);
-}
-
 void SessionEngine::onRelayAnswer(const HostName &Host,
                                   const RelayMessage &Message, TimePoint Now) {
   Router_.onReceived(Host, Message, Now);
   const auto *Received = std::get_if<SessionConfiguration>(&Message);
   if (!Received)
     return;
-  ConfigurationSource_.reset();
+  Router_.onConfigurationReceived();
   if (!applyConfiguration(*Received))
     return;
   // A later version may be requested without waiting for the interval.
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -62,9 +62,6 @@
   /// Asks a live host for its configuration if it has announced a higher
   /// version.
   void askForConfiguration(TimePoint Now);
-  /// Handles the loss of the connection to a host that runs statements for this
-  /// one. See StatementRouter::onLinkLost.
-  void onLinkLost(const HostName &Host, bool WasOpen, TimePoint Now);
   /// Handles a message from a host that runs statements for this one.
   void onRelayAnswer(const HostName &Host, const RelayMessage &Message,
                      TimePoint Now);
@@ -114,8 +111,6 @@
                         TimePoint Now);
   void onConfigurationSeen(const HostName &Host, std::uint64_t Version,
                            TimePoint Now);
-  /// The connection on which the host would send its configuration is lost.
-  void forgetConfigurationSource(const HostName &Host);
   void updateDatabaseTable(TimePoint Now);
   void probeUnresponsiveDatabases(TimePoint Now);
 
@@ -136,8 +131,6 @@
   std::map<DatabaseId, TimePoint> ProbedAt_;
   std::uint64_t ListRevision_ = 0;
   TimePoint ConfigurationAskedAt_;
-  /// Host that was asked for its configuration and has not sent it yet.
-  std::optional<HostName> ConfigurationSource_;
   bool Leaving_ = false;
   bool ReachesStore_ = true;
   std::optional<TimePoint> StoreReachedSince_;
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -277,6 +277,8 @@
 
 void StatementRouter::onLinkLost(const HostName &Host, bool WasOpen,
                                  TimePoint Now) {
+  if (ConfigurationSource_ == Host)
+    ConfigurationSource_.reset();
   Health &Known = Health_[Host];
   if (!Known.Lost)
     Known.LostAt = Now;
@@ -354,6 +356,8 @@
     else if (Known.Lost && Hosts_.isListed(Host))
       Needed[Host] = LostPingInterval;
   }
+  if (ConfigurationSource_)
+    Needed[*ConfigurationSource_] = BusyPingInterval;
   std::vector<HostName> Unresponsive;
   for (const auto &[Host, Interval] : Needed) {
     Health &Known = Health_[Host];
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -53,6 +53,13 @@
 
   void onReceived(const HostName &Host, const RelayMessage &Message,
                   TimePoint Now);
+  /// The host was asked for its configuration. Its connection is watched until
+  /// the configuration arrives.
+  void awaitConfiguration(const HostName &Host) { ConfigurationSource_ = Host; }
+  void onConfigurationReceived() { ConfigurationSource_.reset(); }
+  /// False once the configuration has arrived or the connection was lost.
+  bool awaitsConfiguration() const { return ConfigurationSource_.has_value(); }
+
   /// A part of a large message of the host has arrived, so the connection works
   /// although other messages wait behind this one.
   void onProgress(const HostName &Host, TimePoint Now) {
@@ -135,6 +142,8 @@
   /// For each session with an open transaction at another host: that host.
   std::map<CallerSessionId, HostName> Transactions_;
   std::map<HostName, Health> Health_;
+  /// Host that is to send its configuration.
+  std::optional<HostName> ConfigurationSource_;
   /// Number of statements in progress at each other host.
   std::map<HostName, std::size_t> Load_;
 };
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -268,7 +268,7 @@
       continue;
     atHost(To, HostLatency, [this, To, Link, Name] {
       Hosts_[To]->Engine->relayed().onLinkClosed(Link, Now_);
-      Hosts_[To]->Engine->onLinkLost(Name, true, Now_);
+      Hosts_[To]->Engine->router().onLinkLost(Name, true, Now_);
     });
   }
 }
--- a/tests/sessions/slowlinktest.cpp
+++ b/tests/sessions/slowlinktest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(SlowLinkTest);
   CPPUNIT_TEST(requestsAConfigurationOnceWhileItIsOnItsWay);
   CPPUNIT_TEST(requestsItAgainAfterTheLinkIsLost);
+  CPPUNIT_TEST(noticesThatItsSourceIsSilent);
   CPPUNIT_TEST(keepsALinkOnWhichALargeMessageArrives);
   CPPUNIT_TEST(closesASilentLink);
   CPPUNIT_TEST_SUITE_END();
@@ -46,11 +47,23 @@
 
   void requestsItAgainAfterTheLinkIsLost() {
     announceVersionFor(Milliseconds{1000});
-    Engine_.onLinkLost("member", true, Now_);
+    Engine_.router().onLinkLost("member", true, Now_);
     announceVersionFor(Milliseconds{1000});
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Requests_);
   }
 
+  // Guards against waiting for a host that has lost power since it was asked.
+  void noticesThatItsSourceIsSilent() {
+    announceVersionFor(Milliseconds{250});
+    for (int Count = 0; Count < 12; ++Count) {
+      Now_ += Milliseconds{100};
+      Engine_.router().tick(Now_);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ClosedLinks_);
+    Engine_.onRelayAnswer("other", RelayPong{9, false}, Now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Requests_);
+  }
+
   void startRelaying() {
     Engine_.setMember(false, Now_);
     Engine_.applyHosts({{"member", {"y", "z", "r"}}}, Now_);
