--- a/packages/protocol/eventloop.cpp
+++ b/packages/protocol/eventloop.cpp
@@ -1,6 +1,7 @@
 #include "protocol/eventloop.h"
 
 #include <exception>
+#include <optional>
 
 namespace nutmegloom {
 
@@ -15,7 +16,7 @@
 bool runEventLoop(boost::asio::io_context &Io,
                   const std::function<TimePoint()> &Now,
                   const std::function<void(std::string_view)> &Report) {
-  TimePoint PeriodStart = Now();
+  std::optional<TimePoint> PeriodStart;
   std::size_t Errors = 0;
   while (Errors < MaximumErrors) {
     try {
@@ -24,8 +25,9 @@
     } catch (const std::exception &Error) {
       Report(Error.what());
     }
-    if (Now() - PeriodStart > ErrorPeriod) {
-      PeriodStart = Now();
+    TimePoint FailedAt = Now();
+    if (!PeriodStart || FailedAt - *PeriodStart > ErrorPeriod) {
+      PeriodStart = FailedAt;
       Errors = 0;
     }
     ++Errors;
--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -24,8 +24,8 @@
 
 RelayLinks::RelayLinks(asio::io_context &Io, Hooks Callbacks)
     : Io_(Io), Acceptor_(Io, Framing::LengthPrefixed, AcceptBacklog,
-                         [this](std::shared_ptr<MessageStream> Stream) {
-                           onAccepted(std::move(Stream));
+                         [this](const std::shared_ptr<MessageStream> &Stream) {
+                           onAccepted(Stream);
                          }),
       Hooks_(std::move(Callbacks)) {}
 
@@ -35,7 +35,7 @@
   return Error ? Error.message() : Acceptor_.listen(Local);
 }
 
-void RelayLinks::onAccepted(std::shared_ptr<MessageStream> Stream) {
+void RelayLinks::onAccepted(const std::shared_ptr<MessageStream> &Stream) {
   IncomingRelayId Link = ++LastLink_;
   Incoming_[Link] = Stream;
   Stream->start(
--- a/packages/protocol/relaylinks.h
+++ b/packages/protocol/relaylinks.h
@@ -60,7 +60,7 @@
     std::uint64_t Attempt = 0;
   };
 
-  void onAccepted(std::shared_ptr<MessageStream> Stream);
+  void onAccepted(const std::shared_ptr<MessageStream> &Stream);
   void connect(const HostName &Host, const std::string &Address);
   void onConnected(const HostName &Host, std::uint64_t Attempt,
                    const std::shared_ptr<MessageStream> &Stream);
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -106,6 +106,7 @@
     return Leader && Now + *Leader > Work.Deadline ? Leader : std::nullopt;
   }
   std::vector<DatabaseCapacity> Capacities;
+  Capacities.reserve(Candidates.size());
   for (const PlacementCandidate &Candidate : Candidates)
     Capacities.push_back(
         {Pool_.countOf(Candidate.Database),
