--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -756,14 +756,9 @@
 }
 
 void StatementRunner::endStatements(TimePoint Now) {
-  std::vector<CallerSessionId> Sessions;
-  for (auto &[Session, Task] : Statements_) {
+  for (auto &[Session, Task] : Statements_)
     Task.Work.Deadline = std::min(Task.Work.Deadline, Now);
-    Sessions.push_back(Session);
-  }
-  for (CallerSessionId Session : Sessions)
-    if (auto Task = Statements_.find(Session); Task != Statements_.end())
-      expire(Task->second, Now);
+  expireOverdue(Now);
 }
 
 void StatementRunner::tick(TimePoint Now) {
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -158,6 +158,13 @@
     return Condition();
   }
 
+  void runFor(Milliseconds Span) {
+    asio::steady_timer Timer(Io_, Span);
+    bool Passed = false;
+    Timer.async_wait([&](auto) { Passed = true; });
+    CPPUNIT_ASSERT(await([&] { return Passed; }));
+  }
+
   std::vector<std::string> ask(TestCaller &Caller, const std::string &Line) {
     Caller.Lines.clear();
     Caller.send(Line);
@@ -249,10 +256,7 @@
     Store_.setDown(true);
     // Waits for longer than a leadership stays valid without confirmation by
     // the store.
-    asio::steady_timer Timer(Io_, LeadershipValidity * 2);
-    bool Passed = false;
-    Timer.async_wait([&](auto) { Passed = true; });
-    CPPUNIT_ASSERT(await([&] { return Passed; }));
+    runFor(LeadershipValidity * 2);
     CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
                          ask(*Caller, "QUERY q2 WRITE x data")[0]);
   }
@@ -280,10 +284,7 @@
     raise(SIGTERM);
     CPPUNIT_ASSERT(await([this] { return hasLogged("drain_started"); }));
     // Idle sessions are closed after half of the grace period.
-    asio::steady_timer Timer(Io_, StopGrace / 2 - Milliseconds{100});
-    bool Passed = false;
-    Timer.async_wait([&](auto) { Passed = true; });
-    CPPUNIT_ASSERT(await([&] { return Passed; }));
+    runFor(StopGrace / 2 - Milliseconds{100});
     Caller->Lines.clear();
     Caller->send("QUERY q2 WRITE x data");
     CPPUNIT_ASSERT(await([&] { return Caller->Closed || Io_.stopped(); }));
