Review case 3: answers are cut off while a host drains

Promise at stake: LOST, requests that a database has run are answered around a planned stop.

Seen: while a host drains, a session is closed right after its answer is queued. Bytes that the socket does not take at once are dropped.

Ruled out: the stand-ins. Without SIGTERM the same clients and link get all answers whole.

--- a/review/standins/client.cpp
+++ b/review/standins/client.cpp
@@ -20,8 +20,8 @@
     return Broken ? "the connection ended after " + std::to_string(Bytes) +
                         " bytes of the answer"
                   : "no answer in time";
-  std::string Result = Code.empty() ? "COMPLETE " + Signature
-                                    : "ERROR " + Code + " " + Detail;
+  std::string Result =
+      Code.empty() ? "COMPLETE " + Signature : "ERROR " + Code + " " + Detail;
   return Result + " READY " + State + ", " + std::to_string(Bytes) + " bytes";
 }
 
@@ -74,8 +74,8 @@
                              asio::redirect_error(asio::use_awaitable, Error));
   Answer Ignored;
   std::string Line;
-  bool Ready = !Error && co_await readLine(Line, Ignored) &&
-               Line.starts_with("READY ");
+  bool Ready =
+      !Error && co_await readLine(Line, Ignored) && Line.starts_with("READY ");
   if (!Ready)
     close();
   co_return Ready;
@@ -110,9 +110,8 @@
       Got.Signature = Rest;
     if (Word == "ERROR") {
       Got.Code = Rest.substr(0, Rest.find(' '));
-      Got.Detail = Rest.size() > Got.Code.size()
-                       ? Rest.substr(Got.Code.size() + 1)
-                       : "";
+      Got.Detail =
+          Rest.size() > Got.Code.size() ? Rest.substr(Got.Code.size() + 1) : "";
     }
     if (Word == "READY") {
       Got.State = Rest.substr(0, 1);
--- a/review/standins/databases.cpp
+++ b/review/standins/databases.cpp
@@ -157,7 +157,8 @@
 
 void DatabaseGroup::setDeaf(const std::string &Id, bool Deaf) {
   member(Id).Deaf = Deaf;
-  Record_.add(Id + (Deaf ? " receives nothing from now on" : " receives again") +
+  Record_.add(Id +
+              (Deaf ? " receives nothing from now on" : " receives again") +
               ", log " + textOf(endOf(member(Id).Log)));
   if (!Deaf)
     start(Io_, replicate(Id));
@@ -275,15 +276,16 @@
       if (Name != Id)
         start(Io_, replicate(Name));
   auto HasReplica = [&] {
-    return std::any_of(Members_.begin(), Members_.end(), [&](const auto &Entry) {
-      const Member &Replica = *Entry.second;
-      return Replica.Id != Id && Replica.Up &&
-             std::any_of(Replica.Log.begin(), Replica.Log.end(),
-                         [&](const Commit &Made) {
-                           return Made.Position == At &&
-                                  Made.Statement == Statement;
-                         });
-    });
+    return std::any_of(
+        Members_.begin(), Members_.end(), [&](const auto &Entry) {
+          const Member &Replica = *Entry.second;
+          return Replica.Id != Id && Replica.Up &&
+                 std::any_of(Replica.Log.begin(), Replica.Log.end(),
+                             [&](const Commit &Made) {
+                               return Made.Position == At &&
+                                      Made.Statement == Statement;
+                             });
+        });
   };
   while (Options_.SyncReplicas > 0 && !HasReplica()) {
     boost::system::error_code Ignored;
@@ -354,15 +356,14 @@
 }
 
 /// Runs statements that occupy no slot; nothing: the statement needs one.
-std::optional<std::string>
-DatabaseGroup::control(Member &Serving, Session &Client,
-                       const std::string &Text) {
+std::optional<std::string> DatabaseGroup::control(Member &Serving,
+                                                  Session &Client,
+                                                  const std::string &Text) {
   std::string Rest = Text;
   std::string Word = consumeWord(Rest);
-  std::string Row = "DATAROW " +
-                    std::string(Serving.Primary ? "primary " : "replica ") +
-                    std::to_string(Serving.Term) + " " +
-                    textOf(endOf(Serving.Log)) + " ";
+  std::string Row =
+      "DATAROW " + std::string(Serving.Primary ? "primary " : "replica ") +
+      std::to_string(Serving.Term) + " " + textOf(endOf(Serving.Log)) + " ";
   std::string Tail = " 0 " + std::to_string(Serving.Busy) + " " +
                      std::to_string(Serving.Sockets.size()) +
                      "\r\nCOMPLETE -\r\n";
@@ -402,8 +403,9 @@
     return "COMPLETE -\r\n";
   }
   if (Word == "DEALLOCATE")
-    return Client.Prepared.erase(Rest) > 0 ? "COMPLETE -\r\n"
-                                           : "ERROR NOSUCHNAME " + Rest + "\r\n";
+    return Client.Prepared.erase(Rest) > 0
+               ? "COMPLETE -\r\n"
+               : "ERROR NOSUCHNAME " + Rest + "\r\n";
   return std::nullopt;
 }
 
@@ -487,7 +489,9 @@
     for (std::size_t At = Serving.Applied; At > 0; --At)
       if (auto Found = Log[At - 1].Writes.find(Item);
           Found != Log[At - 1].Writes.end()) {
-        Rows = "DATAROW " + Found->second + "\r\n";
+        std::istringstream Lines(Found->second);
+        for (std::string Row; std::getline(Lines, Row);)
+          Rows += "DATAROW " + Row + "\r\n";
         break;
       }
   }
--- a/review/standins/databases.h
+++ b/review/standins/databases.h
@@ -59,7 +59,8 @@
   void setDeaf(const std::string &Id, bool Deaf);
   /// Additional time that each statement takes at the database.
   void setWorkTime(Milliseconds Time) { Options_.WorkTime = Time; }
-  /// Stores a value everywhere, as a commit of the time before the case.
+  /// Stores a value everywhere, as a commit of the time before the case. Each
+  /// line of it is a row of a read.
   void fill(const std::string &Item, const std::string &Value);
 
   /// The platform's promotion: false if the database is not running.
@@ -124,16 +125,16 @@
   boost::asio::awaitable<void> accept(std::string Id);
   boost::asio::awaitable<void>
   serve(std::string Id, std::shared_ptr<boost::asio::ip::tcp::socket> Socket);
-  boost::asio::awaitable<std::string> run(std::string Id, Session &Client,
-                                          std::string Statement,
-                                          std::string Text);
+  boost::asio::awaitable<std::string>
+  run(std::string Id, Session &Client, std::string Statement, std::string Text);
   std::optional<std::string> control(Member &Serving, Session &Client,
                                      const std::string &Text);
   boost::asio::awaitable<std::string> work(std::string Id, Session &Client,
                                            std::string Statement,
                                            std::string Text);
-  boost::asio::awaitable<bool> commit(std::string Id, std::string Statement,
-                                      std::map<std::string, std::string> Writes);
+  boost::asio::awaitable<bool>
+  commit(std::string Id, std::string Statement,
+         std::map<std::string, std::string> Writes);
   boost::asio::awaitable<void> replicate(std::string Id);
   boost::asio::awaitable<void> applyLater(std::string Id);
   boost::asio::awaitable<void> becomePrimary(std::string Id);
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -152,8 +152,8 @@
   Added->Zone = Zone;
   Added->Front = {Address, freePort(Ip, 8784)};
   Added->Ready = {Address, freePort(Ip, 9385)};
-  Added->StoreLink = std::make_unique<Link>(Io_, tcp::endpoint(Address, 0),
-                                            Store_->address());
+  Added->StoreLink =
+      std::make_unique<Link>(Io_, tcp::endpoint(Address, 0), Store_->address());
   Added->PromotionLink = std::make_unique<Link>(Io_, tcp::endpoint(Address, 0),
                                                 PromotionServer_->address());
   json Settings{{"host", Name},
@@ -187,10 +187,10 @@
                          Language.data(), nullptr};
   std::string Name = Program;
   char *Words[] = {Name.data(), nullptr};
-  int Output = On.Output >= 0 ? On.Output
-                              : open((Temporary_ + "/" + On.Name + ".log").c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                                     0600);
+  int Output = On.Output >= 0
+                   ? On.Output
+                   : open((Temporary_ + "/" + On.Name + ".log").c_str(),
+                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   On.Process = fork();
   if (On.Process == 0) {
     dup2(Output, STDOUT_FILENO);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -50,6 +50,7 @@
   Deployment &operator=(const Deployment &) = delete;
 
   Record &record() { return Record_; }
+  boost::asio::io_context &io() { return Io_; }
   Store &store() { return *Store_; }
   /// A loopback address that no other part of the case uses.
   std::string nextIp();
--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -83,9 +83,9 @@
       std::size_t Wanted =
           Length == Request.Headers.end() ? 0 : std::stoul(Length->second);
       if (Input.size() < Wanted)
-        co_await asio::async_read(
-            Socket, asio::dynamic_buffer(Input),
-            asio::transfer_exactly(Wanted - Input.size()), asio::use_awaitable);
+        co_await asio::async_read(Socket, asio::dynamic_buffer(Input),
+                                  asio::transfer_exactly(Wanted - Input.size()),
+                                  asio::use_awaitable);
       Request.Body = Input.substr(0, Wanted);
       Input.erase(0, Wanted);
       std::optional<HttpReply> Reply = co_await Serve_(std::move(Request));
@@ -108,7 +108,8 @@
 asio::awaitable<int> getStatus(tcp::endpoint Address, std::string Path) {
   auto Executor = co_await asio::this_coro::executor;
   auto Socket = std::make_shared<tcp::socket>(Executor);
-  auto Timer = std::make_shared<asio::steady_timer>(Executor, Milliseconds{1000});
+  auto Timer =
+      std::make_shared<asio::steady_timer>(Executor, Milliseconds{1000});
   Timer->async_wait([Socket](auto Error) {
     boost::system::error_code Ignored;
     if (!Error)
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -29,8 +29,9 @@
 /// request without a response.
 class HttpServer {
 public:
-  using Handler = std::function<boost::asio::awaitable<std::optional<HttpReply>>(
-      HttpRequest)>;
+  using Handler =
+      std::function<boost::asio::awaitable<std::optional<HttpReply>>(
+          HttpRequest)>;
 
   HttpServer(boost::asio::io_context &Io,
              const boost::asio::ip::tcp::endpoint &Address, Handler Serve);
--- a/review/standins/link.cpp
+++ b/review/standins/link.cpp
@@ -86,8 +86,9 @@
     co_await waitUntilHealed();
     if (Limited && Rate_ > 0)
       co_await pause(Milliseconds{Count * 1000 / Rate_ + 1});
-    co_await asio::async_write(*To, asio::buffer(Buffer.data(), Count),
-                               asio::redirect_error(asio::use_awaitable, Error));
+    co_await asio::async_write(
+        *To, asio::buffer(Buffer.data(), Count),
+        asio::redirect_error(asio::use_awaitable, Error));
     if (Error)
       break;
   }
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -18,9 +18,9 @@
 
 Store::Store(asio::io_context &Io, const asio::ip::tcp::endpoint &Address)
     : Changed_(Io, asio::steady_timer::time_point::max()),
-      Server_(Io, Address,
-              [this](HttpRequest Request) { return serve(std::move(Request)); }) {
-}
+      Server_(Io, Address, [this](HttpRequest Request) {
+        return serve(std::move(Request));
+      }) {}
 
 json Store::encode(const std::string &Name, const Object &Stored) const {
   return {{"meta",
@@ -146,7 +146,8 @@
     co_return HttpReply{404, "{}"};
   std::string Rest = Request.Path.substr(Prefix.size());
   std::string Kind = Rest.substr(0, Rest.find('/'));
-  std::string Name = Rest.size() > Kind.size() ? Rest.substr(Kind.size() + 1) : "";
+  std::string Name =
+      Rest.size() > Kind.size() ? Rest.substr(Kind.size() + 1) : "";
   if (Request.Method != "GET")
     co_return write(Request, Kind, Name);
   if (Request.Query.contains("Watch")) {
