--- a/review/standins/databases.cpp
+++ b/review/standins/databases.cpp
@@ -233,6 +233,8 @@
 /// paused. Commits that the primary does not have are rolled back.
 asio::awaitable<void> DatabaseGroup::replicate(std::string Id) {
   std::string Source = Primary_;
+  if (!member(Source).Up)
+    co_return;
   std::vector<Commit> Sent = member(Source).Log;
   std::uint64_t Term = member(Source).Term;
   co_await pause(Options_.NetworkDelay);
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -194,6 +194,8 @@
   On.Process = fork();
   if (On.Process == 0) {
     dup2(Output, STDOUT_FILENO);
+    // The sockets of the stand-ins must not stay open in other processes.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execve(Program, Words, Environment);
     _exit(127);
   }
