--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -86,8 +86,11 @@
       kill(Ended->Process, SIGKILL);
       waitpid(Ended->Process, nullptr, 0);
     }
-    if (Ended->Output >= 0)
-      close(Ended->Output);
+  }
+  if (LogReader_ > 0) {
+    kill(LogReader_, SIGKILL);
+    waitpid(LogReader_, nullptr, 0);
+    close(LogPipe_);
   }
   std::error_code Ignored;
   std::filesystem::remove_all(Temporary_, Ignored);
@@ -105,7 +108,7 @@
 }
 
 void Deployment::putConfiguration() {
-  json Spec{{"Version", 7},
+  json Spec{{"Version", Version_},
             {"Routes", json::array()},
             {"Services", json::array()},
             {"Limits",
@@ -116,6 +119,8 @@
               {"TransactionIdleMs", 3000}}}};
   auto AddRoute = [&](const std::string &Service, const char *Suffix,
                       const char *Kind, int Timeout, int Staleness) {
+    if (DroppedRoutes_.contains(Service + Suffix))
+      return;
     json Route{{"Name", "r-" + Service + Suffix},
                {"Host", Service + Suffix},
                {"PathPrefix", "/"},
@@ -141,11 +146,14 @@
                                 {"SyncReplicas", Group.SyncReplicas}});
   }
   Store_->put("config", "main", Spec);
+  Record_.add("configuration " + std::to_string(Version_) + " acknowledged");
+  Version_ += 3;
 }
 
 Deployment::Machine &Deployment::addMachine(const std::string &Name,
                                             const std::string &Zone) {
   auto Added = std::make_unique<Machine>();
+  Added->Output = LogPipe_;
   std::string Ip = nextIp();
   auto Address = asio::ip::make_address(Ip);
   Added->Name = Name;
@@ -178,6 +186,24 @@
   return *Machines_.back();
 }
 
+pid_t Deployment::startLogReader() {
+  int Ends[2];
+  if (pipe2(Ends, O_CLOEXEC) != 0)
+    throw CannotRun{"no pipe"};
+  LogPipe_ = Ends[1];
+  LogReader_ = fork();
+  if (LogReader_ == 0) {
+    dup2(Ends[0], STDIN_FILENO);
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    char Buffer[4096];
+    while (read(STDIN_FILENO, Buffer, sizeof Buffer) > 0)
+      continue;
+    _exit(0);
+  }
+  close(Ends[0]);
+  return LogReader_;
+}
+
 void Deployment::startProcess(Machine &On) {
   std::string Path = "NUTMEGLOOM_BOOT=" + On.Settings;
   std::string Search = "PATH=" + variable("PATH", "/usr/bin:/bin");
@@ -203,7 +229,7 @@
     close(Output);
   if (On.Process < 0)
     throw CannotRun{"no process can be started"};
-  Record_.add("process of " + On.Name + " started");
+  Record_.add("process of " + On.Name + " starts");
 }
 
 void Deployment::signal(Machine &To, int Signal) {
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -56,8 +56,13 @@
   std::string nextIp();
 
   DatabaseGroup &addGroup(DatabaseGroup::Settings Options);
-  /// Writes the configuration with a route for each kind and service.
+  /// Writes the next configuration, with a route for each kind and service.
   void putConfiguration();
+  /// Leaves a route out of the configurations that follow.
+  void dropRoute(const std::string &Name) { DroppedRoutes_.insert(Name); }
+  /// Starts a process that reads the output of the machines that are added
+  /// later, and drops it. Returns its id.
+  pid_t startLogReader();
   Machine &addMachine(const std::string &Name, const std::string &Zone);
   void startProcess(Machine &On);
   void signal(Machine &To, int Signal);
@@ -86,6 +91,11 @@
   std::vector<std::unique_ptr<Machine>> Machines_;
   std::vector<Promotion> Promotions_;
   int RefusalStatus_ = 0;
+  int Version_ = 7;
+  std::set<std::string> DroppedRoutes_;
+  /// Reader of the machines' output, and the pipe to it.
+  pid_t LogReader_ = 0;
+  int LogPipe_ = -1;
 };
 
 /// Runs a case for TimeLimit at most and returns its exit code. The disruption
