--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -53,6 +54,9 @@
   throw CannotRun{"no free port at " + Ip};
 }
 
+/// Has the kernel end this process when the case ends, also if that is killed.
+void endWithParent() { prctl(PR_SET_PDEATHSIG, SIGKILL); }
+
 std::string variable(const char *Name, const char *Default) {
   const char *Value = std::getenv(Name);
   return Value ? Value : Default;
@@ -60,8 +64,8 @@
 
 } // namespace
 
-Deployment::Deployment(asio::io_context &Io, const std::string &Folder)
-    : Io_(Io), Folder_(Folder), Record_(Folder + "/record.txt"),
+Deployment::Deployment(asio::io_context &Io, const std::string &RecordPath)
+    : Io_(Io), Record_(RecordPath),
       Network_("127." + std::to_string(64 + getpid() % 64) + "." +
                std::to_string(getpid() / 64 % 256) + ".") {
   std::string Pattern =
@@ -193,6 +197,7 @@
   LogPipe_ = Ends[1];
   LogReader_ = fork();
   if (LogReader_ == 0) {
+    endWithParent();
     dup2(Ends[0], STDIN_FILENO);
     close_range(STDERR_FILENO + 1, ~0U, 0);
     char Buffer[4096];
@@ -219,6 +224,7 @@
                           O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   On.Process = fork();
   if (On.Process == 0) {
+    endWithParent();
     dup2(Output, STDOUT_FILENO);
     // The sockets of the stand-ins must not stay open in other processes.
     close_range(STDERR_FILENO + 1, ~0U, 0);
@@ -292,7 +298,7 @@
   auto Result = Verdict::CouldNotRun;
   try {
     if (Count != 2)
-      throw CannotRun{"usage: PROGRAM FOLDER"};
+      throw CannotRun{"usage: PROGRAM RECORD-FILE"};
     asio::io_context Io;
     Deployment Run(Io, Arguments[1]);
     bool Trouble = variable("TROUBLE", "1") != "0";
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -43,8 +43,8 @@
     int Status = 0;
   };
 
-  /// Folder: where record.txt and the logs of the processes are written.
-  Deployment(boost::asio::io_context &Io, const std::string &Folder);
+  /// RecordPath: the file record.txt of the case.
+  Deployment(boost::asio::io_context &Io, const std::string &RecordPath);
   ~Deployment();
   Deployment(const Deployment &) = delete;
   Deployment &operator=(const Deployment &) = delete;
@@ -79,7 +79,6 @@
   boost::asio::awaitable<std::optional<HttpReply>> promote(HttpRequest Request);
 
   boost::asio::io_context &Io_;
-  std::string Folder_;
   std::string Temporary_;
   Record Record_;
   std::string Network_;
