Promote a draining replica that alone has acknowledged commits

Cause: bestCandidate() left out databases that drain, while hasEnoughReports() counted them as proof that no commit is missed. A draining replica counts for the acknowledgement of commits, so it may be the only one that has them.

Ruled out: missing or old reports (all three replicas were heard, and the draining one had the full log when the claim was written); a rollback by a second promotion (the case's record shows one only).

Change: with synchronous replicas a draining database is a candidate. It is chosen only if its log is ahead of the others. Groups without synchronous replicas are treated as before.

Test: PromotionSystemTest::promotesADrainingReplicaThatAloneHoldsACommit failed before (expected b, actual c) and passes now. prefersAReplicaThatDoesNotDrain passed before as well and guards the order. The test now answers each write of the lease, not only the first.

--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -356,12 +356,18 @@
     Promotion.OldLeaderFailed = true;
 }
 
+std::uint32_t
+PromotionSystem::synchronousReplicas(const GroupId &Group) const {
+  auto Found = SynchronousReplicas_.find(Group);
+  return Found == SynchronousReplicas_.end() ? 0 : Found->second;
+}
+
 /// With synchronous replicas, enough replicas must have reported that at least
 /// one of them has every acknowledged commit.
 bool PromotionSystem::hasEnoughReports(const GroupId &Group,
                                        const GroupPromotion &Promotion) const {
-  auto Synchronous = SynchronousReplicas_.find(Group);
-  if (Synchronous == SynchronousReplicas_.end() || Synchronous->second == 0)
+  std::uint32_t Synchronous = synchronousReplicas(Group);
+  if (Synchronous == 0)
     return true;
   std::size_t Replicas = 0;
   std::size_t Reported = 0;
@@ -371,32 +377,42 @@
     ++Replicas;
     Reported += Promotion.Reports.contains(Info->Listing.Id) ? 1 : 0;
   }
-  return Reported + Synchronous->second > Replicas;
+  return Reported + Synchronous > Replicas;
 }
 
 std::optional<DatabaseId>
 PromotionSystem::bestCandidate(const GroupId &Group,
                                const GroupPromotion &Promotion) const {
+  // A draining replica counts for the acknowledgement of commits, so it may be
+  // the only one that has them.
+  bool DrainingAllowed = synchronousReplicas(Group) > 0;
   std::uint64_t Newest = 0;
   for (const auto &[Id, Heard] : Promotion.Reports)
     Newest = std::max(Newest, Heard.Report.Term);
-  std::optional<DatabaseId> Best;
+  const DatabaseInfo *Best = nullptr;
   std::optional<DatabaseId> Leading;
+  auto Received = [&](const DatabaseInfo &Info) {
+    return Promotion.Reports.at(Info.Listing.Id).Report.Received;
+  };
   for (const DatabaseInfo *Info : Table_.membersOf(Group)) {
     const DatabaseId &Id = Info->Listing.Id;
     auto Found = Promotion.Reports.find(Id);
-    if (Found == Promotion.Reports.end() || Info->Listing.Draining ||
-        Id == Promotion.OldLeader)
+    if (Found == Promotion.Reports.end() || Id == Promotion.OldLeader ||
+        (Info->Listing.Draining && !DrainingAllowed))
       continue;
     const DatabaseReport &Report = Found->second.Report;
     // A promotion requested by another host may have taken effect. A primary of
     // an earlier term has been replaced, even if it does not know.
-    if (Report.Role == DatabaseRole::Primary && Report.Term == Newest)
+    if (Report.Role == DatabaseRole::Primary && Report.Term == Newest &&
+        !Info->Listing.Draining)
       Leading = Id;
-    if (!Best || Promotion.Reports.at(*Best).Report.Received < Report.Received)
-      Best = Id;
+    if (!Best || Received(*Best) < Report.Received ||
+        (Received(*Best) == Report.Received && Best->Listing.Draining))
+      Best = Info;
   }
-  return Leading ? Leading : Best;
+  if (Leading || !Best)
+    return Leading;
+  return Best->Listing.Id;
 }
 
 void PromotionSystem::compare(const GroupId &Group, GroupPromotion &Promotion,
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -179,6 +179,7 @@
   void compare(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   std::optional<DatabaseId>
   bestCandidate(const GroupId &Group, const GroupPromotion &Promotion) const;
+  std::uint32_t synchronousReplicas(const GroupId &Group) const;
   bool hasEnoughReports(const GroupId &Group,
                         const GroupPromotion &Promotion) const;
   std::uint64_t requiredTerm(const LeadershipRecord *Record,
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(adoptsAPrimaryThatStartedUnderAnotherId);
   CPPUNIT_TEST(waitsUntilTheNextLeaderReportsANewerTerm);
   CPPUNIT_TEST(waitsForASynchronousReplica);
+  CPPUNIT_TEST(promotesADrainingReplicaThatAloneHoldsACommit);
+  CPPUNIT_TEST(prefersAReplicaThatDoesNotDrain);
   CPPUNIT_TEST(completesAClaimAtTheClaimedTerm);
   CPPUNIT_TEST(keepsARecordThatWasSettledMeanwhile);
   CPPUNIT_TEST(keepsALeaderWithOldFailures);
@@ -57,11 +59,13 @@
     return Hooks;
   }
 
-  void listDatabases(const std::vector<DatabaseId> &Ids) {
+  void listDatabases(const std::vector<DatabaseId> &Ids,
+                     const DatabaseId &Draining = {}) {
     std::vector<DatabaseListing> All;
     for (const DatabaseId &Id : Ids) {
       DatabaseListing Listing;
       Listing.Id = Id;
+      Listing.Draining = Id == Draining;
       Listing.Group = "g";
       Listing.Role = DatabaseRole::Replica;
       All.push_back(Listing);
@@ -90,9 +94,8 @@
         System_.onReport(Id, Report, Now_, Now_);
       if (DropsAnswers_)
         continue;
-      if (!WrittenLeases_.empty() &&
-          !std::exchange(LeaseWriteAnswered_, true)) {
-        PromotionLease Current = WrittenLeases_.back();
+      if (AnsweredLeaseWrites_ < WrittenLeases_.size()) {
+        PromotionLease Current = WrittenLeases_[AnsweredLeaseWrites_++];
         Current.Revision = ++Revision_;
         System_.lease().onWritten(WriteOutcome::Written, Current, Now_);
       }
@@ -110,7 +113,7 @@
 
   /// Writes and promotion calls get no answer.
   bool DropsAnswers_ = false;
-  bool LeaseWriteAnswered_ = false;
+  std::size_t AnsweredLeaseWrites_ = 0;
   std::size_t AnsweredRecordWrites_ = 0;
   std::size_t AnsweredPromotions_ = 0;
 
@@ -194,6 +197,31 @@
     CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
   }
 
+  // Guards against losing commits that only a draining replica has received: it
+  // counts for their acknowledgement, so it must be a candidate as well.
+  void promotesADrainingReplicaThatAloneHoldsACommit() {
+    listDatabases({"b", "c", "d"}, "b");
+    System_.setSynchronousReplicas("g", 1);
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 12);
+    setReport("c", DatabaseRole::Replica, 3, 10);
+    setReport("d", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{1000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Promoted_.front().first);
+  }
+
+  void prefersAReplicaThatDoesNotDrain() {
+    listDatabases({"b", "c"}, "b");
+    System_.setSynchronousReplicas("g", 1);
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 12);
+    setReport("c", DatabaseRole::Replica, 3, 12);
+    run(Milliseconds{1000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
+
   // The first holder of the lease failed before its promotion call, so the term
   // that it had claimed never began. The next promotion begins this term.
   void completesAClaimAtTheClaimedTerm() {
