Compare logs again once no host uses the old leader

Callers would see: with SyncReplicas 1, a write that was answered with success is gone after a promotion.

Cause: the next leader was chosen by reports from before the claim. Until all hosts use the claim, or their confirmations have expired, hosts may have commits acknowledged, and the replica that was not chosen may be the only one that received them. A planned change went ahead after 1.2 s, also while only the draining leader had commits of an earlier term.

Ruled out: groups without synchronous replicas; nothing is changed for them.

Change: with synchronous replicas, reports requested after the last possible acknowledgement must show that no replica is ahead of the next leader, and that it lacks no commit of an earlier term of a draining leader. If not, the pauses are ended and the logs compared again.

Tests, failing before and passing now: PromotionSystemTest::comparesLogsAgainOnceNoHostUsesTheLeader (b promoted instead of c), comparesLogsAgainAfterThePauses (b instead of c), waitsUntilAReplicaHasTheLogOfADrainingLeader (promoted while nobody had the log).

--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -356,8 +356,7 @@
     Promotion.OldLeaderFailed = true;
 }
 
-std::uint32_t
-PromotionSystem::synchronousReplicas(const GroupId &Group) const {
+std::uint32_t PromotionSystem::synchronousReplicas(const GroupId &Group) const {
   auto Found = SynchronousReplicas_.find(Group);
   return Found == SynchronousReplicas_.end() ? 0 : Found->second;
 }
@@ -365,7 +364,8 @@
 /// With synchronous replicas, enough replicas must have reported that at least
 /// one of them has every acknowledged commit.
 bool PromotionSystem::hasEnoughReports(const GroupId &Group,
-                                       const GroupPromotion &Promotion) const {
+                                       const GroupPromotion &Promotion,
+                                       TimePoint Since) const {
   std::uint32_t Synchronous = synchronousReplicas(Group);
   if (Synchronous == 0)
     return true;
@@ -375,11 +375,46 @@
     if (Info->Listing.Id == Promotion.OldLeader)
       continue;
     ++Replicas;
-    Reported += Promotion.Reports.contains(Info->Listing.Id) ? 1 : 0;
+    auto Known = Promotion.Reports.find(Info->Listing.Id);
+    Reported +=
+        Known != Promotion.Reports.end() && Known->second.BegunAt >= Since ? 1
+                                                                           : 0;
   }
   return Reported + Synchronous > Replicas;
 }
 
+/// True when the old leader has no commit of an earlier term that the next
+/// leader lacks. Commits of its own term were acknowledged by the present
+/// replicas. Those of earlier terms may have been acknowledged by databases
+/// that are gone, so the old leader may be the only one that still has them.
+bool PromotionSystem::hasEarlierTermsOf(const TimedReport &Old,
+                                        const TimedReport &Next) {
+  return Next.Report.Received.Term >= Old.Report.Term ||
+         Next.Report.Received >= Old.Report.Received;
+}
+
+/// With synchronous replicas: true when the next leader is known to have all
+/// commits that were acknowledged before Since, a time from which no host
+/// acknowledges commits of the old leader.
+bool PromotionSystem::hasAcknowledgedCommits(const GroupId &Group,
+                                             const GroupPromotion &Promotion,
+                                             TimePoint Since) const {
+  if (synchronousReplicas(Group) == 0)
+    return true;
+  auto Next = Promotion.Reports.find(Promotion.NextLeader);
+  if (Next == Promotion.Reports.end() || Next->second.BegunAt < Since)
+    return false;
+  for (const auto &[Id, Heard] : Promotion.Reports) {
+    bool Old = Id == Promotion.OldLeader;
+    if (Old && Promotion.Reason == PromotionReason::Draining &&
+        !hasEarlierTermsOf(Heard, Next->second))
+      return false;
+    if (!Old && Next->second.Report.Received < Heard.Report.Received)
+      return false;
+  }
+  return hasEnoughReports(Group, Promotion, Since);
+}
+
 std::optional<DatabaseId>
 PromotionSystem::bestCandidate(const GroupId &Group,
                                const GroupPromotion &Promotion) const {
@@ -460,7 +495,7 @@
     }
   }
   std::optional<DatabaseId> Best = bestCandidate(Group, Promotion);
-  if (!Best || !hasEnoughReports(Group, Promotion)) {
+  if (!Best || !hasEnoughReports(Group, Promotion, Promotion.StageSince)) {
     requestReports(Group, Promotion, StatusInterval * 2, Now);
     if (Now - Promotion.StageSince > CompareTimeout * 4)
       enter(Group, Promotion, PromotionStage::Watching, Now, "no candidate");
@@ -608,6 +643,33 @@
   return All || (Tried && isPaused(Promotion, Promotion.NextLeader));
 }
 
+/// Handles the stage Waiting once all hosts use the claim. In a planned change
+/// the next leader gets some time to receive the old leader's last commits.
+/// With synchronous replicas the logs are compared again: hosts may have
+/// acknowledged commits of the old leader since the reports that the choice
+/// rests on.
+void PromotionSystem::promoteOnceCaughtUp(const GroupId &Group,
+                                          GroupPromotion &Promotion,
+                                          TimePoint Now) {
+  if (!Promotion.AllHostsUpdatedAt)
+    Promotion.AllHostsUpdatedAt = Now;
+  TimePoint Stopped = *Promotion.AllHostsUpdatedAt;
+  bool Planned = Promotion.Reason == PromotionReason::Draining;
+  bool Complete = hasAcknowledgedCommits(Group, Promotion, Stopped);
+  if (Complete && (!Planned || isCaughtUp(Promotion, Stopped))) {
+    promote(Group, Promotion, Now);
+    return;
+  }
+  if (Now - Stopped < CatchUpTimeout) {
+    requestReports(Group, Promotion, StatusInterval / 2, Now);
+    return;
+  }
+  if (Complete)
+    promote(Group, Promotion, Now);
+  else
+    beginComparing(Group, Promotion, Promotion.Reason, Now);
+}
+
 /// A host may use the old leader until it uses the claim, or until its latest
 /// confirmation expires. If all hosts use the claim, the promotion is requested
 /// at once. Otherwise LeadershipValidity must pass after the other databases
@@ -621,16 +683,8 @@
     return;
   bool Followed =
       Hosts_.allAtRevision(Group, Promotion.ClaimRevision, Promotion.ClaimedAt);
-  bool Planned = Promotion.Reason == PromotionReason::Draining;
   if (Followed && !Promotion.PausedAt) {
-    if (!Promotion.AllHostsUpdatedAt)
-      Promotion.AllHostsUpdatedAt = Now;
-    if (Planned && !isCaughtUp(Promotion, *Promotion.AllHostsUpdatedAt) &&
-        Now - *Promotion.AllHostsUpdatedAt < CatchUpTimeout) {
-      requestReports(Group, Promotion, StatusInterval / 2, Now);
-      return;
-    }
-    promote(Group, Promotion, Now);
+    promoteOnceCaughtUp(Group, Promotion, Now);
     return;
   }
   // A host that is not live will not use the claim in time.
@@ -654,10 +708,18 @@
   }
   bool Fresh = Promotion.Reports.at(Promotion.NextLeader).BegunAt >=
                Now - MaximumPauseReportAge;
-  if (Fresh && Now - *Promotion.PausedAt >= LeadershipValidity) {
+  TimePoint Expired = *Promotion.PausedAt + LeadershipValidity;
+  bool Complete = hasAcknowledgedCommits(Group, Promotion, Expired);
+  if (Fresh && Complete && Now >= Expired) {
     promote(Group, Promotion, Now);
     return;
   }
+  if (!Complete && Now >= Expired + CatchUpTimeout) {
+    // A paused database does not receive the commits that it lacks.
+    resumePaused(Group, Promotion);
+    beginComparing(Group, Promotion, Promotion.Reason, Now);
+    return;
+  }
   requestReports(Group, Promotion, StatusInterval * 2, Now);
 }
 
@@ -674,18 +736,17 @@
   return false;
 }
 
-/// Ends the pauses of the group's other databases.
-void PromotionSystem::resumeOthers(const GroupId &Group,
+/// Ends the pauses of the group's replicas.
+void PromotionSystem::resumePaused(const GroupId &Group,
                                    const GroupPromotion &Promotion) {
   DatabaseCommand Resume;
   Resume.Verb = CommandVerb::Resume;
   for (const DatabaseInfo *Info : Table_.membersOf(Group)) {
     auto Known = Promotion.Reports.find(Info->Listing.Id);
-    if (Known == Promotion.Reports.end() ||
-        Info->Listing.Id == Promotion.NextLeader ||
-        Known->second.Report.PausedTerm == 0)
-      continue;
-    Hooks_.Ask(Info->Listing, Resume);
+    if (Known != Promotion.Reports.end() &&
+        Known->second.Report.Role == DatabaseRole::Replica &&
+        Known->second.Report.PausedTerm > 0)
+      Hooks_.Ask(Info->Listing, Resume);
   }
 }
 
@@ -790,7 +851,7 @@
   Settled.Phase = LeadershipPhase::Settled;
   Settled.Term = Promotion.LeadingTerm;
   Settled.Holder = Hosts_.self();
-  resumeOthers(Group, Promotion);
+  resumePaused(Group, Promotion);
   enter(Group, Promotion, PromotionStage::Settling, Now);
   Hooks_.Write(Settled, Record->Revision);
 }
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -180,8 +180,14 @@
   std::optional<DatabaseId>
   bestCandidate(const GroupId &Group, const GroupPromotion &Promotion) const;
   std::uint32_t synchronousReplicas(const GroupId &Group) const;
-  bool hasEnoughReports(const GroupId &Group,
-                        const GroupPromotion &Promotion) const;
+  /// Only reports of exchanges that began at or after Since count.
+  bool hasEnoughReports(const GroupId &Group, const GroupPromotion &Promotion,
+                        TimePoint Since) const;
+  static bool hasEarlierTermsOf(const TimedReport &Old,
+                                const TimedReport &Next);
+  bool hasAcknowledgedCommits(const GroupId &Group,
+                              const GroupPromotion &Promotion,
+                              TimePoint Since) const;
   std::uint64_t requiredTerm(const LeadershipRecord *Record,
                              const GroupPromotion &Promotion) const;
   bool isLeading(const GroupId &Group, const GroupPromotion &Promotion,
@@ -189,6 +195,8 @@
   void claim(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   void waitForOldLeaderExpiry(const GroupId &Group, GroupPromotion &Promotion,
                               TimePoint Now);
+  void promoteOnceCaughtUp(const GroupId &Group, GroupPromotion &Promotion,
+                           TimePoint Now);
   bool isCaughtUp(const GroupPromotion &Promotion, TimePoint Stopped) const;
   static bool isPaused(const GroupPromotion &Promotion,
                        const DatabaseId &Database);
@@ -196,7 +204,7 @@
                     TimePoint Now);
   bool hasUnpausedMember(const GroupId &Group,
                          const GroupPromotion &Promotion) const;
-  void resumeOthers(const GroupId &Group, const GroupPromotion &Promotion);
+  void resumePaused(const GroupId &Group, const GroupPromotion &Promotion);
   void promote(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   void verify(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   void settle(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -16,6 +16,9 @@
   CPPUNIT_TEST(waitsForASynchronousReplica);
   CPPUNIT_TEST(promotesADrainingReplicaThatAloneHoldsACommit);
   CPPUNIT_TEST(prefersAReplicaThatDoesNotDrain);
+  CPPUNIT_TEST(waitsUntilAReplicaHasTheLogOfADrainingLeader);
+  CPPUNIT_TEST(comparesLogsAgainOnceNoHostUsesTheLeader);
+  CPPUNIT_TEST(comparesLogsAgainAfterThePauses);
   CPPUNIT_TEST(completesAClaimAtTheClaimedTerm);
   CPPUNIT_TEST(keepsARecordThatWasSettledMeanwhile);
   CPPUNIT_TEST(keepsALeaderWithOldFailures);
@@ -48,7 +51,10 @@
       WrittenLeases_.push_back(Lease);
     };
     Hooks.ListHosts = [this] {
-      Hosts_.applyListed({{"self", {"x", "", ""}}}, Now_);
+      std::map<HostName, ListedHost> Listed{{"self", {"x", "", ""}}};
+      if (KeepsUnreachableHost_)
+        Listed["gone"] = {"y", "", ""};
+      Hosts_.applyListed(Listed, Now_);
     };
     Hooks.Promote = [this](const GroupId &, const DatabaseId &Id,
                            std::uint64_t Token) {
@@ -113,6 +119,8 @@
 
   /// Writes and promotion calls get no answer.
   bool DropsAnswers_ = false;
+  /// A host that does not answer stays in the store's list.
+  bool KeepsUnreachableHost_ = false;
   std::size_t AnsweredLeaseWrites_ = 0;
   std::size_t AnsweredRecordWrites_ = 0;
   std::size_t AnsweredPromotions_ = 0;
@@ -222,6 +230,62 @@
     CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
   }
 
+  // Guards against losing commits in a planned change while replicas receive
+  // nothing: the draining leader may be the only database that still has the
+  // commits of an earlier term.
+  void waitsUntilAReplicaHasTheLogOfADrainingLeader() {
+    listDatabases({"a", "b", "c"}, "a");
+    System_.setSynchronousReplicas("g", 1);
+    setLeader("a", 4);
+    setReport("a", DatabaseRole::Primary, 4, 20);
+    setReport("b", DatabaseRole::Replica, 3, 11);
+    setReport("c", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{5000});
+    CPPUNIT_ASSERT(Promoted_.empty());
+    setReport("c", DatabaseRole::Replica, 4, 20);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
+
+  // Guards against losing commits that hosts made at the old leader, and that
+  // only the other replica received, between the reports and the claim.
+  void comparesLogsAgainOnceNoHostUsesTheLeader() {
+    listDatabases({"b", "c"});
+    System_.setSynchronousReplicas("g", 1);
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 11);
+    setReport("c", DatabaseRole::Replica, 3, 10);
+    for (int Step = 0; Step < 20 && Written_.empty(); ++Step)
+      run(Milliseconds{50});
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Written_.back().Leader);
+    setReport("c", DatabaseRole::Replica, 3, 14);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
+
+  // The same while a listed host is out of reach: it may use the old leader
+  // until its confirmation expires, and the databases are paused one by one.
+  void comparesLogsAgainAfterThePauses() {
+    Hosts_.applyListed({{"self", {"x", "", ""}}, {"gone", {"y", "", ""}}},
+                       Now_);
+    KeepsUnreachableHost_ = true;
+    listDatabases({"b", "c"});
+    System_.setSynchronousReplicas("g", 1);
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 11, 4);
+    setReport("c", DatabaseRole::Replica, 3, 10, 4);
+    for (int Step = 0; Step < 20 && Written_.empty(); ++Step)
+      run(Milliseconds{50});
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Written_.back().Leader);
+    run(Milliseconds{200});
+    setReport("c", DatabaseRole::Replica, 3, 14, 4);
+    run(Milliseconds{6000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
+
   // The first holder of the lease failed before its promotion call, so the term
   // that it had claimed never began. The next promotion begins this term.
   void completesAClaimAtTheClaimedTerm() {
