Read each object of the store on its own, within limits

Cause: the answer of the store was parsed as one JSON value, so one object decided about all. Each object's content was then printed by the JSON library, which recurses as deep as the content is nested.

Ruled out: the HTTP layer (the bodies arrive whole); the parser itself, which does not recurse; the follower (it asked again as it should). Ports out of range ended no process, but were taken as databases out of reach.

Numbers and addresses are checked for their range. Refused entries are logged with name and reason, again only if the reason changes. The stand-in of the store passes contents on as they are.

Tests, failing before and passing now: PlatformHostTest:: followsTheListBesideOddEntries, becomesReadyBesideOddEntries, reportsAnOddEntryOnce, ListingsTest::rejectsNumbersAndAddressesOutOfRange, rejectsLongAndDeepEntries.

--- a/testing/standinsessions/objectapi.cpp
+++ b/testing/standinsessions/objectapi.cpp
@@ -21,30 +21,28 @@
   Address_ = std::get<std::string>(Server_->listen("127.0.0.1:0"));
 }
 
-json ObjectApi::encodeObject(const std::string &Name,
-                             const Object &Encoded) const {
-  json Body;
-  Body["meta"] = {{"Name", Name},
-                  {"Revision", Encoded.Revision},
-                  {"Created", 1},
-                  {"Finalizers", json::array()},
-                  {"Deleting", false}};
-  Body["spec"] = Encoded.Content;
-  Body["status"] = nullptr;
-  return Body;
+std::string ObjectApi::encodeObject(const std::string &Name,
+                                    const Object &Encoded) {
+  json Meta = {{"Name", Name},
+               {"Revision", Encoded.Revision},
+               {"Created", 1},
+               {"Finalizers", json::array()},
+               {"Deleting", false}};
+  return R"({"meta":)" + Meta.dump() + R"(,"spec":)" + Encoded.Content +
+         R"(,"status":null})";
 }
 
 void ObjectApi::notifyWatches(const std::string &Kind, const std::string &Name,
                               bool Deleted) {
   LastChanges_[Kind] = Revision_;
-  json Body;
-  Body["AsOf"] = Revision_;
-  Body["events"] = {{{"Deleted", Deleted},
-                     {"Object", encodeObject(Name, Objects_[Kind][Name])}}};
+  std::string Body = R"({"AsOf":)" + std::to_string(Revision_) +
+                     R"(,"events":[{"Deleted":)" +
+                     (Deleted ? "true" : "false") + R"(,"Object":)" +
+                     encodeObject(Name, Objects_[Kind][Name]) + "}]}";
   std::vector<Watch> Kept;
   for (Watch &Pending : Watches_) {
     if (Pending.Kind == Kind)
-      Pending.Respond(makeResponse(200, Body.dump()));
+      Pending.Respond(makeResponse(200, Body));
     else
       Kept.push_back(std::move(Pending));
   }
@@ -53,6 +51,11 @@
 
 void ObjectApi::put(const std::string &Kind, const std::string &Name,
                     json Content) {
+  putText(Kind, Name, Content.dump());
+}
+
+void ObjectApi::putText(const std::string &Kind, const std::string &Name,
+                        std::string Content) {
   Objects_[Kind][Name] = {std::move(Content), ++Revision_};
   notifyWatches(Kind, Name, false);
 }
@@ -68,7 +71,7 @@
   auto ObjectsOfKind = Objects_.find(Kind);
   if (ObjectsOfKind == Objects_.end() || !ObjectsOfKind->second.contains(Name))
     return std::nullopt;
-  return ObjectsOfKind->second.at(Name).Content;
+  return json::parse(ObjectsOfKind->second.at(Name).Content);
 }
 
 void ObjectApi::dropHistory() {
@@ -78,14 +81,12 @@
 }
 
 HttpResponse ObjectApi::list(const std::string &Kind) const {
-  json Body;
-  Body["items"] = json::array();
-  Body["More"] = false;
-  Body["AsOf"] = Revision_;
+  std::string Items;
   if (auto ObjectsOfKind = Objects_.find(Kind); ObjectsOfKind != Objects_.end())
     for (const auto &[Name, Stored] : ObjectsOfKind->second)
-      Body["items"].push_back(encodeObject(Name, Stored));
-  return makeResponse(200, Body.dump());
+      Items += (Items.empty() ? "" : ",") + encodeObject(Name, Stored);
+  return makeResponse(200, R"({"AsOf":)" + std::to_string(Revision_) +
+                               R"(,"More":false,"items":[)" + Items + "]}");
 }
 
 HttpResponse ObjectApi::write(const std::string &Kind, std::string Name,
@@ -107,9 +108,9 @@
       Exists && HasExpectedRevision &&
       Received["meta"]["Revision"] != ObjectsOfKind[Name].Revision;
   if ((Method == "POST" && Exists) || IsConflict)
-    return makeResponse(409, encodeObject(Name, ObjectsOfKind[Name]).dump());
+    return makeResponse(409, encodeObject(Name, ObjectsOfKind[Name]));
   put(Kind, Name, Received["spec"]);
-  return makeResponse(200, encodeObject(Name, ObjectsOfKind[Name]).dump());
+  return makeResponse(200, encodeObject(Name, ObjectsOfKind[Name]));
 }
 
 HttpResponse ObjectApi::promote(const std::string &Body) {
--- a/testing/standinsessions/objectapi.h
+++ b/testing/standinsessions/objectapi.h
@@ -24,6 +24,10 @@
   /// Creates or replaces an object under the next revision.
   void put(const std::string &Kind, const std::string &Name,
            nlohmann::json Content);
+  /// Creates or replaces an object whose content is passed on as it is. It may
+  /// be any text, also one that is not valid JSON.
+  void putText(const std::string &Kind, const std::string &Name,
+               std::string Content);
   void erase(const std::string &Kind, const std::string &Name);
   std::optional<nlohmann::json> find(const std::string &Kind,
                                      const std::string &Name) const;
@@ -39,7 +43,8 @@
 
 private:
   struct Object {
-    nlohmann::json Content;
+    /// JSON text.
+    std::string Content;
     std::uint64_t Revision = 0;
   };
   struct Watch {
@@ -55,8 +60,8 @@
   HttpResponse promote(const std::string &Body);
   void notifyWatches(const std::string &Kind, const std::string &Name,
                      bool Deleted);
-  nlohmann::json encodeObject(const std::string &Name,
-                              const Object &Encoded) const;
+  static std::string encodeObject(const std::string &Name,
+                                  const Object &Encoded);
 
   std::function<bool(const std::string &)> Promote_;
   std::shared_ptr<HttpServer> Server_;
--- a/tests/platform/listingstest.cpp
+++ b/tests/platform/listingstest.cpp
@@ -10,6 +10,8 @@
   CPPUNIT_TEST_SUITE(ListingsTest);
   CPPUNIT_TEST(readsADatabase);
   CPPUNIT_TEST(rejectsInvalidDatabaseEntries);
+  CPPUNIT_TEST(rejectsNumbersAndAddressesOutOfRange);
+  CPPUNIT_TEST(rejectsLongAndDeepEntries);
   CPPUNIT_TEST(readsAConfiguration);
   CPPUNIT_TEST(rejectsAConfigurationWithOneInvalidRoute);
   CPPUNIT_TEST(recordsRoundTrip);
@@ -53,6 +55,42 @@
           std::holds_alternative<ObjectError>(readDatabase(object(Content))));
   }
 
+  static std::string entryWith(const std::string &Fields) {
+    return R"({"Service":"g","Zone":"z","State":"ready",)"
+           R"("DatabaseRole":"replica",)" +
+           Fields + "}";
+  }
+
+  static bool isRejected(const std::string &Content) {
+    return std::holds_alternative<ObjectError>(readDatabase(object(Content)));
+  }
+
+  void rejectsNumbersAndAddressesOutOfRange() {
+    std::string Address = R"("Address":"10.0.0.9:80")";
+    CPPUNIT_ASSERT(!isRejected(entryWith(Address)));
+    CPPUNIT_ASSERT(isRejected(entryWith(R"("Address":"10.0.0.9:70000")")));
+    CPPUNIT_ASSERT(isRejected(entryWith(R"("Address":"10.0.0.9")")));
+    for (const char *Field :
+         {R"("Slots":1e999)", R"("Slots":1e300)", R"("Slots":4294967296)",
+          R"("born":-1)", R"("born":18446744073709551615)", R"("born":1e20)"})
+      CPPUNIT_ASSERT_MESSAGE(Field,
+                             isRejected(entryWith(Address + "," + Field)));
+  }
+
+  // Guards against a stack that overflows, and against the cost of parsing a
+  // long entry again with each change of the list.
+  void rejectsLongAndDeepEntries() {
+    std::string Start = R"("Address":"10.0.0.9:80","New":)";
+    auto nested = [](std::size_t Depth) {
+      return std::string(Depth, '[') + std::string(Depth, ']');
+    };
+    CPPUNIT_ASSERT(!isRejected(entryWith(Start + nested(8))));
+    CPPUNIT_ASSERT(isRejected(entryWith(Start + nested(100))));
+    CPPUNIT_ASSERT(isRejected(entryWith(Start + nested(200000))));
+    CPPUNIT_ASSERT(
+        isRejected(entryWith(Start + '"' + std::string(100000, 'x') + '"')));
+  }
+
   void readsAConfiguration() {
     auto Read = readConfiguration(object(
         R"({"Version":7,"Routes":[{"Host":"d","Service":"g",
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -64,6 +64,9 @@
   CPPUNIT_TEST(acceptsNoSessionOnceItHasFinished);
   CPPUNIT_TEST(answersStatementsInProgressBeforeItExits);
   CPPUNIT_TEST(servesWhileMalformedMessagesArrive);
+  CPPUNIT_TEST(followsTheListBesideOddEntries);
+  CPPUNIT_TEST(becomesReadyBesideOddEntries);
+  CPPUNIT_TEST(reportsAnOddEntryOnce);
   CPPUNIT_TEST_SUITE_END();
 
   /// Leaves 400 ms for ending transactions.
@@ -115,26 +118,32 @@
     Store_.put("config", "main", Content);
   }
 
-public:
-  void setUp() override {
-    setLogStream(Log_);
-    registerDatabase("a", "primary");
-    registerDatabase("b", "replica");
-    registerDatabase("c", "replica");
-    configure(3, {"d1"});
+  PlatformSettings settingsOf(const HostName &Host) {
     PlatformSettings Settings;
-    Settings.Host = "h1";
+    Settings.Host = Host;
     Settings.Address = "127.0.0.1";
     Settings.Zone = "z";
     Settings.Region = "r";
     Settings.RegionsOfZones = {{"z", "r"}};
-    Settings.CallerAddress = CallerAddress_ = freeAddress(Io_);
+    Settings.CallerAddress = freeAddress(Io_);
     Settings.ReadinessAddress = freeAddress(Io_);
     Settings.PeerPort = endpointOf(freeAddress(Io_))->port();
     Settings.MetricsPort = endpointOf(freeAddress(Io_))->port();
     Settings.StoreAddress = Store_.address();
     Settings.PromotionAddress = Store_.address();
     Settings.StopGrace = StopGrace;
+    return Settings;
+  }
+
+public:
+  void setUp() override {
+    setLogStream(Log_);
+    registerDatabase("a", "primary");
+    registerDatabase("b", "replica");
+    registerDatabase("c", "replica");
+    configure(3, {"d1"});
+    PlatformSettings Settings = settingsOf("h1");
+    CallerAddress_ = Settings.CallerAddress;
     PeerAddress_ = "127.0.0.1:" + std::to_string(Settings.PeerPort);
     TcpAddresses_ = {CallerAddress_, Settings.ReadinessAddress, PeerAddress_,
                      "127.0.0.1:" + std::to_string(Settings.MetricsPort)};
@@ -354,6 +363,81 @@
     CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
                          ask(*connect("d1"), "QUERY q READ x")[1]);
   }
+
+  /// Contents that another program may have written, from slightly wrong ones
+  /// to ones that exhaust the stack of a recursive reader.
+  static std::vector<std::string> oddContents() {
+    constexpr std::size_t Depth = 200000;
+    std::string Valid = R"("Service":"g","Zone":"z","State":"ready",)"
+                        R"("DatabaseRole":"primary")";
+    return {"{" + Valid + R"(,"Address":"127.0.0.1:70000"})",
+            "{" + Valid + R"(,"Address":"127.0.0.1:80","Slots":1e999})",
+            "{" + Valid + R"(,"Address":"127.0.0.1:80","Slots":1e300})",
+            "{" + Valid + R"(,"Address":"127.0.0.1:80","born":-1})",
+            "{" + Valid + R"(,"Address":"127.0.0.1:80","More":)" +
+                std::string(Depth, '[') + std::string(Depth, ']') + "}",
+            "{" + Valid + R"(,"Address":"\xff\xfe"})",
+            "\"\xff\xfe\xfd\xfc\"",
+            "nonsense",
+            "[]"};
+  }
+
+  static std::string oddName(std::size_t Number) {
+    return "odd-" + std::to_string(Number);
+  }
+
+  void putOddEntries() {
+    std::vector<std::string> Contents = oddContents();
+    for (std::size_t At = 0; At < Contents.size(); ++At) {
+      Store_.putText("servers", oddName(At), Contents[At]);
+      runFor(Milliseconds{20});
+    }
+  }
+
+  bool hasReported(const std::string &Object) const {
+    return Log_.str().find("object=" + Object) != std::string::npos;
+  }
+
+  // Guards against processes that end, or stop following the list of databases,
+  // because another program has written an odd entry there.
+  void followsTheListBesideOddEntries() {
+    auto Caller = connect("d1");
+    putOddEntries();
+    for (std::size_t At = 0; At < oddContents().size(); ++At)
+      CPPUNIT_ASSERT(await([&] { return hasReported(oddName(At)); }));
+    Databases_.crash("a");
+    Store_.erase("servers", "a");
+    CPPUNIT_ASSERT(await([&] {
+      auto Lines = ask(*Caller, "QUERY q READ x");
+      return Lines[0].starts_with("DATAROW");
+    }));
+  }
+
+  // The same for a process that starts, and so reads the whole list at once.
+  void becomesReadyBesideOddEntries() {
+    putOddEntries();
+    PlatformSettings Settings = settingsOf("h2");
+    PlatformHost Second(Io_, Settings);
+    CPPUNIT_ASSERT(Second.start());
+    CallerAddress_ = Settings.CallerAddress;
+    auto Caller = connect("d1");
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*Caller, "QUERY q READ x")[1]);
+    Io_.stop();
+  }
+
+  // Guards against a log that is filled by an entry that stays.
+  void reportsAnOddEntryOnce() {
+    Store_.putText("servers", oddName(0), "[]");
+    CPPUNIT_ASSERT(await([&] { return hasReported(oddName(0)); }));
+    for (int Change = 0; Change < 5; ++Change) {
+      registerDatabase("b", "replica");
+      runFor(Milliseconds{20});
+    }
+    std::string Text = Log_.str();
+    std::size_t First = Text.find(oddName(0));
+    CPPUNIT_ASSERT(Text.find(oddName(0), First + 1) == std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformHostTest);
