Replace databases and write odd entries in the soak

The soak never listed a database as draining, removed one that still ran or showed an entry of another program. Both now come as a series of their own, so the other faults of a seed stay as they were.

--- a/testing/soak/deployment.cpp
+++ b/testing/soak/deployment.cpp
@@ -92,14 +92,20 @@
 }
 
 void Deployment::putDatabaseEntry(const std::string &Id) {
+  if (Id != Replaced_)
+    putDatabaseEntry(Id, "ready");
+}
+
+void Deployment::putDatabaseEntry(const std::string &Id, const char *State) {
   bool Leads = Databases_.primary() == Id;
   Store_.put("servers", Id,
              {{"Service", "g"},
               {"Address", Proxies_.at(Id)->address()},
               {"Zone", Zones.front()},
               {"Slots", 5},
-              {"State", "ready"},
-              {"DatabaseRole", Leads ? "primary" : "replica"}});
+              {"State", State},
+              {"DatabaseRole", Leads ? "primary" : "replica"},
+              {"born", Starts_[Id]}});
 }
 
 void Deployment::putNextConfiguration() {
@@ -193,6 +199,26 @@
   });
 }
 
+void Deployment::replaceDatabase(const std::string &Id, milliseconds Duration) {
+  if (!Replaced_.empty() || !Databases_.isUp(Id))
+    return;
+  Replaced_ = Id;
+  putDatabaseEntry(Id, "draining");
+  schedule(Duration / 2, [this, Id] { Store_.erase("servers", Id); });
+  schedule(Duration, [this, Id] {
+    Replaced_.clear();
+    ++Starts_[Id];
+    if (Databases_.isUp(Id))
+      putDatabaseEntry(Id);
+  });
+}
+
+void Deployment::putOddEntry(std::string Content, milliseconds Duration) {
+  std::string Name = "odd-" + std::to_string(++OddEntries_);
+  Store_.putText("servers", Name, std::move(Content));
+  schedule(Duration, [this, Name] { Store_.erase("servers", Name); });
+}
+
 void Deployment::healProxies() {
   for (Host &Entry : Hosts_)
     Entry.Store->heal();
--- a/testing/soak/deployment.h
+++ b/testing/soak/deployment.h
@@ -36,6 +36,14 @@
 
   /// Crashes a database that is up and restarts it after Down.
   void crash(const std::string &Database, std::chrono::milliseconds Down);
+  /// Lists a database as draining, removes it from the list after half of the
+  /// time, and lists it again as a database that has just started at the end.
+  /// Does nothing while another database is being replaced.
+  void replaceDatabase(const std::string &Database,
+                       std::chrono::milliseconds Duration);
+  /// Another program writes an entry among those of the databases, with any
+  /// text as its content, and removes it after Duration.
+  void putOddEntry(std::string Content, std::chrono::milliseconds Duration);
   /// Stores the next version of the configuration.
   void putNextConfiguration();
   ObjectApi &store() { return Store_; }
@@ -63,6 +71,7 @@
 
   void writeSettings(const Host &Entry);
   void putDatabaseEntry(const std::string &Id);
+  void putDatabaseEntry(const std::string &Id, const char *State);
   void schedule(std::chrono::milliseconds Time, std::function<void()> Action);
 
   boost::asio::io_context &Io_;
@@ -75,6 +84,11 @@
   ProcessTable Processes_;
   std::vector<std::string> UnexpectedExits_;
   std::uint64_t Version_ = 0;
+  /// Database that is being replaced; empty if there is none.
+  std::string Replaced_;
+  /// Start of each database that was replaced, for its entry.
+  std::map<std::string, std::int64_t> Starts_;
+  std::size_t OddEntries_ = 0;
 };
 
 } // namespace nutmegloom::testing
--- a/testing/soak/faults.cpp
+++ b/testing/soak/faults.cpp
@@ -8,9 +8,32 @@
 
 using std::chrono::milliseconds;
 
+/// Added to the seed of the changes in the list of databases.
+static constexpr std::uint32_t ListSeedOffset = 1000003;
+
+/// Contents of entries that another program may have written.
+static const std::vector<std::string> &oddContents() {
+  static const std::string Start =
+      R"({"Service":"g","Zone":"z1","State":"ready","DatabaseRole":"primary",)"
+      R"("Address":)";
+  static const std::string Deep(200000, '[');
+  static const std::string DeepEnd(200000, ']');
+  static const std::vector<std::string> Contents{
+      Start + R"("127.0.0.1:70000"})",
+      Start + R"("127.0.0.1:9","Slots":1e999})",
+      Start + R"("127.0.0.1:9","born":1e300})",
+      Start + R"("127.0.0.1:9","More":)" + Deep + DeepEnd + "}",
+      Start + "\"\xff\xfe\"}",
+      Start + R"("127.0.0.1:9"})",
+      "\"\xff\"",
+      "[]"};
+  return Contents;
+}
+
 Faults::Faults(boost::asio::io_context &Io, Deployment &Target,
                std::uint32_t Seed)
-    : Io_(Io), Deployment_(Target), Random_(Seed), Timer_(Io) {}
+    : Io_(Io), Deployment_(Target), Random_(Seed),
+      ListRandom_(Seed + ListSeedOffset), Timer_(Io), ListTimer_(Io) {}
 
 std::string_view Faults::nameOf(Kind Fault) {
   constexpr std::array<std::string_view, KindCount> Names{
@@ -29,11 +52,19 @@
   return std::string(1, static_cast<char>('a' + randomBetween(0, 2)));
 }
 
-void Faults::start() { next(); }
+int Faults::listRandomBetween(int Least, int Greatest) {
+  return std::uniform_int_distribution<>(Least, Greatest)(ListRandom_);
+}
+
+void Faults::start() {
+  next();
+  nextListChange();
+}
 
 void Faults::stop() {
   Stopped_ = true;
   Timer_.cancel();
+  ListTimer_.cancel();
   Deployment_.healProxies();
   Deployment_.store().setDown(false);
   Deployment_.store().setUnansweredWriteShare(0);
@@ -52,6 +83,37 @@
   });
 }
 
+void Faults::nextListChange() {
+  ListTimer_.expires_after(milliseconds{listRandomBetween(200, 2000)});
+  ListTimer_.async_wait([this](auto Cancelled) {
+    if (Cancelled || Stopped_)
+      return;
+    change(static_cast<ListChange>(listRandomBetween(0, ListChangeCount - 1)));
+    nextListChange();
+  });
+}
+
+void Faults::change(ListChange Change) {
+  milliseconds Duration{listRandomBetween(200, 4000)};
+  switch (Change) {
+  case ListChange::DatabaseReplaced: {
+    std::string Id(1, static_cast<char>('a' + listRandomBetween(0, 2)));
+    std::cout << "database " << Id << " replaced for " << Duration.count()
+              << " ms" << std::endl;
+    Deployment_.replaceDatabase(Id, Duration);
+    break;
+  }
+  case ListChange::OddEntry: {
+    int Last = static_cast<int>(oddContents().size()) - 1;
+    auto Number = static_cast<std::size_t>(listRandomBetween(0, Last));
+    std::cout << "odd entry " << Number << " for " << Duration.count() << " ms"
+              << std::endl;
+    Deployment_.putOddEntry(oddContents()[Number], Duration);
+    break;
+  }
+  }
+}
+
 void Faults::schedule(milliseconds Time, std::function<void()> Action) {
   auto Timer = std::make_shared<boost::asio::steady_timer>(Io_, Time);
   Timer->async_wait([this, Timer, Action = std::move(Action)](auto Cancelled) {
--- a/testing/soak/faults.h
+++ b/testing/soak/faults.h
@@ -45,16 +45,26 @@
   static constexpr int KindCount = 15;
   static std::string_view nameOf(Kind Fault);
 
+  /// Changes in the list of databases. They come as a series of their own with
+  /// its own random numbers, so that the other faults of a seed stay the same.
+  enum class ListChange { DatabaseReplaced, OddEntry };
+  static constexpr int ListChangeCount = 2;
+
   void next();
   void inject(Kind Fault);
+  void nextListChange();
+  void change(ListChange Change);
   void schedule(std::chrono::milliseconds Time, std::function<void()> Action);
   int randomBetween(int Least, int Greatest);
+  int listRandomBetween(int Least, int Greatest);
   std::string randomDatabase();
 
   boost::asio::io_context &Io_;
   Deployment &Deployment_;
   std::mt19937 Random_;
+  std::mt19937 ListRandom_;
   boost::asio::steady_timer Timer_;
+  boost::asio::steady_timer ListTimer_;
   std::chrono::steady_clock::time_point LastFaultAt_;
   bool Stopped_ = false;
 };
