Call no handler inside a write or a connect

Callers saw: nothing of it was seen by users for certain. One session with variables of more than 4 MiB ends the process of its host, and with it all requests there.

Cause: beyond its output limit, MessageStream::write() failed at once and ran the handler of the connection's end, which erases entries that the writer still uses. connectStream() ran its handler at once for an address that can't be parsed.

Evidence: PlatformHostTest::survivesASessionWithTooManyVariables under the address sanitizer: heap-use-after-free in StatementRunner::prepareConnection, reached from onOpened; nothing after the change (40 tests pass).

Change: both post the call to the event loop. The workaround in RelayLinks is gone.

--- a/packages/protocol/messagestream.cpp
+++ b/packages/protocol/messagestream.cpp
@@ -162,21 +162,20 @@
 }
 
 void MessageStream::write(std::string_view Text) {
-  if (!Open_)
+  if (!Open_ || Overflowed_)
     return;
   Output_ += Text;
   std::size_t Limit = Framing_ == Framing::Lines ? MaximumLineOutputBytes
                                                  : MaximumMessageOutputBytes;
-  if (Output_.size() > Limit) {
-    fail();
-    return;
-  }
-  if (FlushScheduled_ || WaitsForWritable_)
+  Overflowed_ = Output_.size() > Limit;
+  if (FlushScheduled_ || (WaitsForWritable_ && !Overflowed_))
     return;
   FlushScheduled_ = true;
   asio::post(Socket_.get_executor(), [Self = shared_from_this()] {
     Self->FlushScheduled_ = false;
-    if (Self->Open_)
+    if (Self->Overflowed_)
+      Self->fail();
+    else if (Self->Open_ && !Self->WaitsForWritable_)
       Self->flush();
   });
 }
@@ -269,7 +268,9 @@
                    ConnectTimeouts Timeouts, ConnectHandler Handler) {
   std::optional<tcp::endpoint> Endpoint = endpointOf(Address);
   if (!Endpoint) {
-    Handler(nullptr, ConnectResult::NoAnswer);
+    asio::post(Io, [Handler = std::move(Handler)] {
+      Handler(nullptr, ConnectResult::NoAnswer);
+    });
     return;
   }
   auto Socket = std::make_shared<tcp::socket>(Io);
--- a/packages/protocol/messagestream.h
+++ b/packages/protocol/messagestream.h
@@ -26,7 +26,9 @@
 };
 
 /// TCP connection that carries messages. It holds a reference to itself while
-/// an operation is in progress. No handler is called after close().
+/// an operation is in progress. No handler is called after close(), and none is
+/// called inside a member function: a caller may go on using what it holds,
+/// such as an entry that a handler erases.
 class MessageStream : public std::enable_shared_from_this<MessageStream> {
 public:
   struct Handlers {
@@ -73,6 +75,9 @@
   std::string Output_;
   bool Open_ = true;
   bool FlushScheduled_ = false;
+  /// The limit of the queued output was exceeded; the connection is about to
+  /// fail.
+  bool Overflowed_ = false;
   bool WaitsForWritable_ = false;
 };
 
@@ -106,8 +111,8 @@
 using ConnectHandler =
     std::function<void(std::shared_ptr<MessageStream>, ConnectResult)>;
 
-/// Connects to "IP:port". If the address isn't valid, the handler gets NoAnswer
-/// before the function returns.
+/// Connects to "IP:port". The handler is called once, never before the function
+/// returns; for an invalid address it gets NoAnswer.
 void connectStream(boost::asio::io_context &Io, std::string_view Address,
                    Framing Mode, ConnectTimeouts Timeouts,
                    ConnectHandler Handler);
--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -2,8 +2,6 @@
 
 #include "protocol/relaycodec.h"
 
-#include <boost/asio/post.hpp>
-
 #include <utility>
 
 namespace nutmegloom {
@@ -95,15 +93,10 @@
 void RelayLinks::connect(const HostName &Host, const std::string &Address) {
   std::uint64_t Attempt = ++LastAttempt_;
   Outgoing_[Host].Attempt = Attempt;
-  // connectStream() may call its handler immediately. It is called from the
-  // event loop, so that the handler cannot run while the calling code is still
-  // in progress.
-  asio::post(Io_, [this, Host, Address, Attempt] {
-    connectStream(Io_, Address, Framing::LengthPrefixed, HostConnectTimeouts,
-                  [this, Host, Attempt](const auto &Stream, ConnectResult) {
-                    onConnected(Host, Attempt, Stream);
-                  });
-  });
+  connectStream(Io_, Address, Framing::LengthPrefixed, HostConnectTimeouts,
+                [this, Host, Attempt](const auto &Stream, ConnectResult) {
+                  onConnected(Host, Attempt, Stream);
+                });
 }
 
 void RelayLinks::onConnected(const HostName &Host, std::uint64_t Attempt,
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(acceptsNoSessionOnceItHasFinished);
   CPPUNIT_TEST(answersStatementsInProgressBeforeItExits);
   CPPUNIT_TEST(servesWhileMalformedMessagesArrive);
+  CPPUNIT_TEST(survivesASessionWithTooManyVariables);
   CPPUNIT_TEST(followsTheListBesideOddEntries);
   CPPUNIT_TEST(becomesReadyBesideOddEntries);
   CPPUNIT_TEST(reportsAnOddEntryOnce);
@@ -364,6 +365,22 @@
                          ask(*connect("d1"), "QUERY q READ x")[1]);
   }
 
+  // Guards against a process that ends by itself: the variables are more than
+  // the connection to a database queues, and its end was handled in the middle
+  // of sending them.
+  void survivesASessionWithTooManyVariables() {
+    auto Caller = connect("d1");
+    std::string Value(MaximumLineBytes - 100, 'x');
+    for (int Number = 0; Number < 8; ++Number)
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("COMPLETE -"),
+          ask(*Caller,
+              "QUERY q SET v" + std::to_string(Number) + " " + Value)[0]);
+    CPPUNIT_ASSERT(ask(*Caller, "QUERY q READ x")[0].starts_with("ERROR "));
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*connect("d1"), "QUERY q READ x")[1]);
+  }
+
   /// Contents that another program may have written, from slightly wrong ones
   /// to ones that exhaust the stack of a recursive reader.
   static std::vector<std::string> oddContents() {
