Don't promote the log of an earlier term while a newer one may answer

Cause: the best candidate among the databases that answered was promoted, also if it had taken no part in the leader's term. Its log was not compared with the leader's position, which all hosts knew.

Ruled out: a wrong choice among those that answered (one did); an old record in the store.

Change: leaders' positions are given to the promotion system. A candidate without any entry of the leader's term waits up to 15 s for one that has it; statements for the primary are refused at once meanwhile.

Test: PromotionSystemTest::waitsForADatabaseWithTheLeadersTerm fails with the wait removed and passes with it. promotesALogOfAnEarlierTermAtLast bounds the wait.

--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -26,6 +26,10 @@
 /// Additional delay of each host after the one ranked before it.
 constexpr Milliseconds RankDelay{400};
 constexpr Milliseconds CompareTimeout{300};
+/// How long a database that has commits of the leader's term is waited for,
+/// before one that lacks the whole term is promoted. A database that crashed is
+/// usually back earlier.
+constexpr Milliseconds MissingTermTimeout{15000};
 /// The holder of a claim is expected to write the final record within this time
 /// after the platform lists the new primary; then another host writes it.
 constexpr Milliseconds CompletionDelay{250};
@@ -158,6 +162,10 @@
     Promotion.SeenRevision = Record->Revision;
     Promotion.SeenAt = Now;
     Promotion.SuspectedAt.reset();
+    if (Record->Phase == LeadershipPhase::Settled) {
+      Promotion.LeaderLog = {};
+      Promotion.TermMissingSince.reset();
+    }
   }
   // A claim must replace a record that was confirmed lately.
   std::optional<TimePoint> Confirmed = Authority_.confirmedAt(Group);
@@ -170,6 +178,7 @@
   PromotionReason Reason = reasonToReplace(Group, *Record, Now);
   if (Reason == PromotionReason::None) {
     Promotion.SuspectedAt.reset();
+    Promotion.TermMissingSince.reset();
     return;
   }
   if (!Promotion.SuspectedAt)
@@ -450,6 +459,28 @@
   return Best->Listing.Id;
 }
 
+void PromotionSystem::onLeaderPosition(const GroupId &Group, Position Log) {
+  Position &Known = Promotions_[Group].LeaderLog;
+  Known = std::max(Known, Log);
+}
+
+/// True while a candidate must not be promoted because it has no commit of the
+/// leader's term, although there were some: it took no part in the term, and
+/// its promotion would drop all of them. A database that has them, such as the
+/// leader itself, may answer later.
+bool PromotionSystem::mustWaitForTerm(GroupPromotion &Promotion,
+                                      const DatabaseId &Candidate,
+                                      TimePoint Now) {
+  const DatabaseReport &Report = Promotion.Reports.at(Candidate).Report;
+  if (Report.Received.Term >= Promotion.LeaderLog.Term) {
+    Promotion.TermMissingSince.reset();
+    return false;
+  }
+  if (!Promotion.TermMissingSince)
+    Promotion.TermMissingSince = Now;
+  return Now - *Promotion.TermMissingSince < MissingTermTimeout;
+}
+
 void PromotionSystem::compare(const GroupId &Group, GroupPromotion &Promotion,
                               TimePoint Now) {
   std::size_t Expected = 0;
@@ -495,7 +526,8 @@
     }
   }
   std::optional<DatabaseId> Best = bestCandidate(Group, Promotion);
-  if (!Best || !hasEnoughReports(Group, Promotion, Promotion.StageSince)) {
+  if (!Best || !hasEnoughReports(Group, Promotion, Promotion.StageSince) ||
+      mustWaitForTerm(Promotion, *Best, Now)) {
     requestReports(Group, Promotion, StatusInterval * 2, Now);
     if (Now - Promotion.StageSince > CompareTimeout * 4)
       enter(Group, Promotion, PromotionStage::Watching, Now, "no candidate");
@@ -861,8 +893,10 @@
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   if (!Record)
     return std::nullopt;
+  auto Found = Promotions_.find(Group);
+  if (Found != Promotions_.end() && Found->second.TermMissingSince)
+    return OverdueRetry;
   if (Record->Phase == LeadershipPhase::Promoting) {
-    auto Found = Promotions_.find(Group);
     TimePoint Since = Found == Promotions_.end() ? Now : Found->second.SeenAt;
     if (Found != Promotions_.end() &&
         Found->second.SeenRevision != Record->Revision)
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -95,6 +95,10 @@
     SynchronousReplicas_[Group] = Count;
   }
 
+  /// Handles the log position of a group's leader, as it reported it to this
+  /// host or another one: commits up to it may have been acknowledged.
+  void onLeaderPosition(const GroupId &Group, Position Log);
+
   LeaseManager &lease() { return Lease_; }
   const LeaseManager &lease() const { return Lease_; }
 
@@ -153,6 +157,10 @@
     std::optional<TimePoint> AskedAt;
     std::map<DatabaseId, TimedReport> Reports;
     std::uint64_t LeadingTerm = 0;
+    /// Highest known log position of the leader.
+    Position LeaderLog;
+    /// Since when no candidate is known to have commits of the leader's term.
+    std::optional<TimePoint> TermMissingSince;
   };
 
   void watch(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
@@ -177,6 +185,8 @@
   void beginComparing(const GroupId &Group, GroupPromotion &Promotion,
                       PromotionReason Reason, TimePoint Now);
   void compare(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
+  static bool mustWaitForTerm(GroupPromotion &Promotion,
+                              const DatabaseId &Candidate, TimePoint Now);
   std::optional<DatabaseId>
   bestCandidate(const GroupId &Group, const GroupPromotion &Promotion) const;
   std::uint32_t synchronousReplicas(const GroupId &Group) const;
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -335,6 +335,11 @@
   Relayed_.tick(Now);
   Router_.tick(Now);
   Proxy_.tick(Now);
+  for (const GroupId &Group : Table_.groups()) {
+    const PositionHistory *History = Runner_.placement().historyOf(Group);
+    if (History && History->latest())
+      Promotions_.onLeaderPosition(Group, History->latest()->first);
+  }
   Promotions_.tick(Now);
   Check_.tick(Now);
 }
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(waitsUntilAReplicaHasTheLogOfADrainingLeader);
   CPPUNIT_TEST(comparesLogsAgainOnceNoHostUsesTheLeader);
   CPPUNIT_TEST(comparesLogsAgainAfterThePauses);
+  CPPUNIT_TEST(waitsForADatabaseWithTheLeadersTerm);
+  CPPUNIT_TEST(promotesALogOfAnEarlierTermAtLast);
   CPPUNIT_TEST(completesAClaimAtTheClaimedTerm);
   CPPUNIT_TEST(keepsARecordThatWasSettledMeanwhile);
   CPPUNIT_TEST(keepsALeaderWithOldFailures);
@@ -286,6 +288,38 @@
     CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
   }
 
+  // Guards against dropping all commits of a term: the leader is silent, and a
+  // database that was down during the whole term is the only one that answers.
+  void waitsForADatabaseWithTheLeadersTerm() {
+    listDatabases({"a"});
+    setLeader("b", 5);
+    run(Milliseconds{50});
+    System_.onLeaderPosition("g", {5, 20});
+    setReport("a", DatabaseRole::Replica, 3, 100);
+    run(Milliseconds{8000});
+    CPPUNIT_ASSERT(Promoted_.empty());
+    // Callers are told to come back instead of being held.
+    CPPUNIT_ASSERT(System_.leaderExpectedIn("g", Now_) > Milliseconds{1000});
+    listDatabases({"a", "b"});
+    setReport("b", DatabaseRole::Replica, 5, 20);
+    run(Milliseconds{3000});
+    CPPUNIT_ASSERT(Promoted_.empty() || Promoted_.front().first == "b");
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Authority_.recordOf("g")->Leader);
+  }
+
+  // Guards against a group that stays without a leader: the databases that had
+  // the term are gone for good.
+  void promotesALogOfAnEarlierTermAtLast() {
+    listDatabases({"a"});
+    setLeader("b", 5);
+    run(Milliseconds{50});
+    System_.onLeaderPosition("g", {5, 20});
+    setReport("a", DatabaseRole::Replica, 3, 100);
+    run(Milliseconds{20000});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("a"), Promoted_.front().first);
+  }
+
   // The first holder of the lease failed before its promotion call, so the term
   // that it had claimed never began. The next promotion begins this term.
   void completesAClaimAtTheClaimedTerm() {
