--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -365,98 +365,17 @@
     Promotion.OldLeaderFailed = true;
 }
 
-std::uint32_t PromotionSystem::synchronousReplicas(const GroupId &Group) const {
-  auto Found = SynchronousReplicas_.find(Group);
-  return Found == SynchronousReplicas_.end() ? 0 : Found->second;
-}
-
-/// With synchronous replicas, enough replicas must have reported that at least
-/// one of them has every acknowledged commit.
-bool PromotionSystem::hasEnoughReports(const GroupId &Group,
-                                       const GroupPromotion &Promotion,
-                                       TimePoint Since) const {
-  std::uint32_t Synchronous = synchronousReplicas(Group);
-  if (Synchronous == 0)
-    return true;
-  std::size_t Replicas = 0;
-  std::size_t Reported = 0;
-  for (const DatabaseInfo *Info : Table_.membersOf(Group)) {
-    if (Info->Listing.Id == Promotion.OldLeader)
-      continue;
-    ++Replicas;
-    auto Known = Promotion.Reports.find(Info->Listing.Id);
-    Reported +=
-        Known != Promotion.Reports.end() && Known->second.BegunAt >= Since ? 1
-                                                                           : 0;
-  }
-  return Reported + Synchronous > Replicas;
-}
-
-/// True when the old leader has no commit of an earlier term that the next
-/// leader lacks. Commits of its own term were acknowledged by the present
-/// replicas. Those of earlier terms may have been acknowledged by databases
-/// that are gone, so the old leader may be the only one that still has them.
-bool PromotionSystem::hasEarlierTermsOf(const TimedReport &Old,
-                                        const TimedReport &Next) {
-  return Next.Report.Received.Term >= Old.Report.Term ||
-         Next.Report.Received >= Old.Report.Received;
-}
-
-/// With synchronous replicas: true when the next leader is known to have all
-/// commits that were acknowledged before Since, a time from which no host
-/// acknowledges commits of the old leader.
-bool PromotionSystem::hasAcknowledgedCommits(const GroupId &Group,
-                                             const GroupPromotion &Promotion,
-                                             TimePoint Since) const {
-  if (synchronousReplicas(Group) == 0)
-    return true;
-  auto Next = Promotion.Reports.find(Promotion.NextLeader);
-  if (Next == Promotion.Reports.end() || Next->second.BegunAt < Since)
-    return false;
-  for (const auto &[Id, Heard] : Promotion.Reports) {
-    bool Old = Id == Promotion.OldLeader;
-    if (Old && Promotion.Reason == PromotionReason::Draining &&
-        !hasEarlierTermsOf(Heard, Next->second))
-      return false;
-    if (!Old && Next->second.Report.Received < Heard.Report.Received)
-      return false;
-  }
-  return hasEnoughReports(Group, Promotion, Since);
-}
-
-std::optional<DatabaseId>
-PromotionSystem::bestCandidate(const GroupId &Group,
-                               const GroupPromotion &Promotion) const {
-  // A draining replica counts for the acknowledgement of commits, so it may be
-  // the only one that has them.
-  bool DrainingAllowed = synchronousReplicas(Group) > 0;
-  std::uint64_t Newest = 0;
-  for (const auto &[Id, Heard] : Promotion.Reports)
-    Newest = std::max(Newest, Heard.Report.Term);
-  const DatabaseInfo *Best = nullptr;
-  std::optional<DatabaseId> Leading;
-  auto Received = [&](const DatabaseInfo &Info) {
-    return Promotion.Reports.at(Info.Listing.Id).Report.Received;
-  };
-  for (const DatabaseInfo *Info : Table_.membersOf(Group)) {
-    const DatabaseId &Id = Info->Listing.Id;
-    auto Found = Promotion.Reports.find(Id);
-    if (Found == Promotion.Reports.end() || Id == Promotion.OldLeader ||
-        (Info->Listing.Draining && !DrainingAllowed))
-      continue;
-    const DatabaseReport &Report = Found->second.Report;
-    // A promotion requested by another host may have taken effect. A primary of
-    // an earlier term has been replaced, even if it does not know.
-    if (Report.Role == DatabaseRole::Primary && Report.Term == Newest &&
-        !Info->Listing.Draining)
-      Leading = Id;
-    if (!Best || Received(*Best) < Report.Received ||
-        (Received(*Best) == Report.Received && Best->Listing.Draining))
-      Best = Info;
-  }
-  if (Leading || !Best)
-    return Leading;
-  return Best->Listing.Id;
+LogComparison
+PromotionSystem::comparisonOf(const GroupId &Group,
+                              const GroupPromotion &Promotion) const {
+  auto Synchronous = SynchronousReplicas_.find(Group);
+  LogComparison Comparison(Promotion.Reports);
+  Comparison.Members = Table_.membersOf(Group);
+  Comparison.OldLeader = Promotion.OldLeader;
+  Comparison.OldLeaderDrains = Promotion.Reason == PromotionReason::Draining;
+  if (Synchronous != SynchronousReplicas_.end())
+    Comparison.SynchronousReplicas = Synchronous->second;
+  return Comparison;
 }
 
 void PromotionSystem::onLeaderPosition(const GroupId &Group, Position Log) {
@@ -525,8 +444,9 @@
       return;
     }
   }
-  std::optional<DatabaseId> Best = bestCandidate(Group, Promotion);
-  if (!Best || !hasEnoughReports(Group, Promotion, Promotion.StageSince) ||
+  LogComparison Comparison = comparisonOf(Group, Promotion);
+  std::optional<DatabaseId> Best = Comparison.bestCandidate();
+  if (!Best || !Comparison.hasEnoughReports(Promotion.StageSince) ||
       mustWaitForTerm(Promotion, *Best, Now)) {
     requestReports(Group, Promotion, StatusInterval * 2, Now);
     if (Now - Promotion.StageSince > CompareTimeout * 4)
@@ -687,7 +607,8 @@
     Promotion.AllHostsUpdatedAt = Now;
   TimePoint Stopped = *Promotion.AllHostsUpdatedAt;
   bool Planned = Promotion.Reason == PromotionReason::Draining;
-  bool Complete = hasAcknowledgedCommits(Group, Promotion, Stopped);
+  bool Complete = comparisonOf(Group, Promotion)
+                      .hasAcknowledgedCommits(Promotion.NextLeader, Stopped);
   if (Complete && (!Planned || isCaughtUp(Promotion, Stopped))) {
     promote(Group, Promotion, Now);
     return;
@@ -741,7 +662,8 @@
   bool Fresh = Promotion.Reports.at(Promotion.NextLeader).BegunAt >=
                Now - MaximumPauseReportAge;
   TimePoint Expired = *Promotion.PausedAt + LeadershipValidity;
-  bool Complete = hasAcknowledgedCommits(Group, Promotion, Expired);
+  bool Complete = comparisonOf(Group, Promotion)
+                      .hasAcknowledgedCommits(Promotion.NextLeader, Expired);
   if (Fresh && Complete && Now >= Expired) {
     promote(Group, Promotion, Now);
     return;
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -5,6 +5,7 @@
 #include "sessions/hosttable.h"
 #include "sessions/leaderauthority.h"
 #include "sessions/leasemanager.h"
+#include "sessions/logcomparison.h"
 
 #include <functional>
 
@@ -118,10 +119,6 @@
   PromotionStage stageOf(const GroupId &Group) const;
 
 private:
-  struct TimedReport {
-    DatabaseReport Report;
-    TimePoint BegunAt;
-  };
   struct GroupPromotion {
     PromotionStage Stage = PromotionStage::Watching;
     PromotionReason Reason = PromotionReason::None;
@@ -187,17 +184,8 @@
   void compare(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   static bool mustWaitForTerm(GroupPromotion &Promotion,
                               const DatabaseId &Candidate, TimePoint Now);
-  std::optional<DatabaseId>
-  bestCandidate(const GroupId &Group, const GroupPromotion &Promotion) const;
-  std::uint32_t synchronousReplicas(const GroupId &Group) const;
-  /// Only reports of exchanges that began at or after Since count.
-  bool hasEnoughReports(const GroupId &Group, const GroupPromotion &Promotion,
-                        TimePoint Since) const;
-  static bool hasEarlierTermsOf(const TimedReport &Old,
-                                const TimedReport &Next);
-  bool hasAcknowledgedCommits(const GroupId &Group,
-                              const GroupPromotion &Promotion,
-                              TimePoint Since) const;
+  LogComparison comparisonOf(const GroupId &Group,
+                             const GroupPromotion &Promotion) const;
   std::uint64_t requiredTerm(const LeadershipRecord *Record,
                              const GroupPromotion &Promotion) const;
   bool isLeading(const GroupId &Group, const GroupPromotion &Promotion,
--- a/testing/standinsessions/objectapi.cpp
+++ b/testing/standinsessions/objectapi.cpp
@@ -50,7 +50,7 @@
 }
 
 void ObjectApi::put(const std::string &Kind, const std::string &Name,
-                    json Content) {
+                    const json &Content) {
   putText(Kind, Name, Content.dump());
 }
 
--- a/testing/standinsessions/objectapi.h
+++ b/testing/standinsessions/objectapi.h
@@ -23,7 +23,7 @@
   const std::string &address() const { return Address_; }
   /// Creates or replaces an object under the next revision.
   void put(const std::string &Kind, const std::string &Name,
-           nlohmann::json Content);
+           const nlohmann::json &Content);
   /// Creates or replaces an object whose content is passed on as it is. It may
   /// be any text, also one that is not valid JSON.
   void putText(const std::string &Kind, const std::string &Name,
--- a/tests/platform/listingstest.cpp
+++ b/tests/platform/listingstest.cpp
@@ -81,12 +81,12 @@
   // long entry again with each change of the list.
   void rejectsLongAndDeepEntries() {
     std::string Start = R"("Address":"10.0.0.9:80","New":)";
-    auto nested = [](std::size_t Depth) {
+    auto Nested = [](std::size_t Depth) {
       return std::string(Depth, '[') + std::string(Depth, ']');
     };
-    CPPUNIT_ASSERT(!isRejected(entryWith(Start + nested(8))));
-    CPPUNIT_ASSERT(isRejected(entryWith(Start + nested(100))));
-    CPPUNIT_ASSERT(isRejected(entryWith(Start + nested(200000))));
+    CPPUNIT_ASSERT(!isRejected(entryWith(Start + Nested(8))));
+    CPPUNIT_ASSERT(isRejected(entryWith(Start + Nested(100))));
+    CPPUNIT_ASSERT(isRejected(entryWith(Start + Nested(200000))));
     CPPUNIT_ASSERT(
         isRejected(entryWith(Start + '"' + std::string(100000, 'x') + '"')));
   }
