Log each preparation of a statement at a database

No line named the prepared statement, so the three hypotheses (name made from text with blanks, bytes mixed on the way, another session's entry) looked the same from outside.

No decision is changed.

--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -48,7 +48,7 @@
                [this](const GroupId &Group, TimePoint Now) {
                  return Promotions_.leaderExpectedIn(Group, Now);
                },
-               Hooks_.ReachabilityChanged}),
+               Hooks_.ReachabilityChanged, Hooks_.StatementPrepared}),
       Relayed_(Runner_, {Hooks_.AnswerHost, Hooks_.CloseLink,
                          [this]() -> const SessionConfiguration & {
                            return Proxy_.configuration();
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -25,6 +25,9 @@
     std::function<void(const DatabaseId &, bool Reachable,
                        std::string_view Reason)>
         ReachabilityChanged;
+    /// See StatementRunner::Hooks; optional.
+    std::function<void(const StatementPreparation &, TimePoint)>
+        StatementPrepared = nullptr;
     /// Sends a message to a host that runs statements for this one.
     std::function<void(const HostName &, const RelayMessage &)> AskHost;
     std::function<void(const HostName &)> CloseRelay;
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -178,8 +178,10 @@
       Profile = ConnectionProfile{};
     if (Command.Verb == CommandVerb::SetVariable)
       Profile.Variables[Command.Name] = Command.Text;
-    if (Command.Verb == CommandVerb::Prepare)
+    if (Command.Verb == CommandVerb::Prepare) {
       Profile.Prepared.insert(Command.Name);
+      reportPreparation(Connection, Work.Command.Id, Command, Now);
+    }
     ConnectionState &Used = Connections_[Connection];
     Used.VariableSetInTransaction |=
         Used.InTransaction && Command.Verb == CommandVerb::SetVariable;
@@ -187,6 +189,22 @@
   }
 }
 
+void StatementRunner::reportPreparation(ConnectionId Connection,
+                                        const std::string &StatementId,
+                                        const DatabaseCommand &Prepare,
+                                        TimePoint Now) const {
+  if (!Hooks_.StatementPrepared)
+    return;
+  StatementPreparation Report;
+  Report.StatementId = StatementId;
+  Report.Database = Pool_.databaseOf(Connection).value_or("");
+  Report.Connection = Connection;
+  Report.Name = Prepare.Name;
+  Report.Access = Prepare.Access;
+  Report.Shape = Prepare.Text;
+  Hooks_.StatementPrepared(Report, Now);
+}
+
 std::vector<PlacementCandidate>
 StatementRunner::candidatesFor(const StatementWork &Work,
                                const std::set<DatabaseId> &Avoided,
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -31,6 +31,9 @@
     std::function<void(const DatabaseId &, bool Reachable,
                        std::string_view Reason)>
         ReachabilityChanged;
+    /// A statement was prepared on a connection; optional.
+    std::function<void(const StatementPreparation &, TimePoint)>
+        StatementPrepared = nullptr;
   };
 
   StatementRunner(DatabaseTable &Table, LeaderAuthority &Authority,
@@ -130,6 +133,9 @@
             TimePoint Now);
   void prepareConnection(ConnectionId Connection, const StatementWork &Work,
                          TimePoint Now);
+  void reportPreparation(ConnectionId Connection,
+                         const std::string &StatementId,
+                         const DatabaseCommand &Prepare, TimePoint Now) const;
   /// Sends a statement if a connection to a suitable database is idle, and
   /// opens a connection to a better one. Returns false if the statement must
   /// wait.
--- a/packages/sessions/statementwork.h
+++ b/packages/sessions/statementwork.h
@@ -58,6 +58,18 @@
   HostName Via;
 };
 
+/// A statement that was prepared on a connection, for logs and metrics.
+struct StatementPreparation {
+  /// Id of the statement that needed it first.
+  std::string_view StatementId;
+  DatabaseId Database;
+  ConnectionId Connection = 0;
+  /// Name and text as they were sent to the database.
+  std::string_view Name;
+  StatementKind Access = StatementKind::Read;
+  std::string_view Shape;
+};
+
 /// True for a statement that commits changed data: the commit of a transaction
 /// that wrote, or a write outside a transaction.
 bool isCommit(const StatementWork &Work);
--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<LogEventEntry, 33> Events{{
+constexpr std::array<LogEventEntry, 34> Events{{
     {LogEvent::HostStarted, LogLevel::Info, "host_started",
      "the host has started"},
     {LogEvent::HostReady, LogLevel::Info, "host_ready",
@@ -81,6 +81,8 @@
      "lines were left out to bound the volume"},
     {LogEvent::MembershipDecided, LogLevel::Info, "membership_decided",
      "this host holds connections to databases, or relays statements"},
+    {LogEvent::StatementPrepared, LogLevel::Info, "statement_prepared",
+     "a statement was prepared on a database connection"},
 }};
 
 constexpr std::array<std::string_view, 5> LevelNames{"trace", "debug", "info",
--- a/packages/telemetry/events.h
+++ b/packages/telemetry/events.h
@@ -51,6 +51,7 @@
   SettingsReloaded = 1608,
   LogLinesLeftOut = 1609,
   MembershipDecided = 1610,
+  StatementPrepared = 1611,
 };
 
 struct LogEventEntry {
--- a/packages/telemetry/sessionlog.cpp
+++ b/packages/telemetry/sessionlog.cpp
@@ -5,6 +5,8 @@
 namespace nutmegloom {
 
 static constexpr Milliseconds SuppressedReportInterval{1000};
+/// Limit for a text of a caller inside a line.
+static constexpr std::size_t MaximumLoggedBytes = 200;
 
 void SessionLog::onStatement(const StatementReport &Report, TimePoint Now) {
   Metrics_.observeStatement(nameOf(Report.Verb), nameOf(Report.Mode),
@@ -14,15 +16,7 @@
     return;
   if (!LineLimit_.tryAcquire(Now))
     return;
-  std::uint64_t Suppressed =
-      Now - SuppressedReportedAt_ > SuppressedReportInterval
-          ? LineLimit_.takeSuppressed()
-          : 0;
-  if (Suppressed > 0) {
-    SuppressedReportedAt_ = Now;
-    logEvent(LogEvent::LogLinesLeftOut,
-             {{"lines", static_cast<std::int64_t>(Suppressed)}});
-  }
+  reportSuppressed(LineLimit_, Now);
   std::string Floor = Report.MinimumPosition
                           ? std::to_string(Report.MinimumPosition->Term) + "." +
                                 std::to_string(Report.MinimumPosition->Index)
@@ -45,6 +39,34 @@
             {"ms", std::chrono::floor<Milliseconds>(Report.Time).count()}});
 }
 
+void SessionLog::reportSuppressed(RateLimit &Limit, TimePoint Now) {
+  if (Now - SuppressedReportedAt_ <= SuppressedReportInterval)
+    return;
+  std::uint64_t Suppressed = Limit.takeSuppressed();
+  if (Suppressed == 0)
+    return;
+  SuppressedReportedAt_ = Now;
+  logEvent(LogEvent::LogLinesLeftOut,
+           {{"lines", static_cast<std::int64_t>(Suppressed)}});
+}
+
+void SessionLog::onStatementPrepared(const StatementPreparation &Preparation,
+                                     TimePoint Now) {
+  Metrics_.countPreparation(nameOf(Preparation.Access));
+  if (!PreparationLimit_.tryAcquire(Now))
+    return;
+  reportSuppressed(PreparationLimit_, Now);
+  logEvent(
+      LogEvent::StatementPrepared,
+      {{"request", Preparation.StatementId},
+       {"database", Preparation.Database},
+       {"connection", static_cast<std::int64_t>(Preparation.Connection)},
+       {"prepared", Preparation.Name.substr(0, MaximumLoggedBytes)},
+       {"access", nameOf(Preparation.Access)},
+       {"shape", Preparation.Shape.substr(0, MaximumLoggedBytes)},
+       {"shape_bytes", static_cast<std::int64_t>(Preparation.Shape.size())}});
+}
+
 void SessionLog::onPromotion(const PromotionReport &Report) {
   Metrics_.countPromotionStage(nameOf(Report.Stage), nameOf(Report.Reason));
   logEvent(LogEvent::PromotionStageChanged,
--- a/packages/telemetry/sessionlog.h
+++ b/packages/telemetry/sessionlog.h
@@ -15,6 +15,9 @@
 
   /// Records an answered statement. Logs it if it failed or was retried.
   void onStatement(const StatementReport &Report, TimePoint Now);
+  /// Records a statement that was prepared on a database connection.
+  void onStatementPrepared(const StatementPreparation &Preparation,
+                           TimePoint Now);
   void onPromotion(const PromotionReport &Report);
   void onLeadership(const LeadershipRecord &Record);
   /// Connections to the database can no longer be opened, or can be opened
@@ -26,8 +29,16 @@
   static constexpr double LinesPerSecond = 60;
   static constexpr double LineBurst = 200;
 
+  static constexpr double PreparationsPerSecond = 10;
+  static constexpr double PreparationBurst = 100;
+
+  /// Logs how many lines about statements were left out, at most once in a
+  /// while.
+  void reportSuppressed(RateLimit &Limit, TimePoint Now);
+
   SessionMetrics &Metrics_;
   RateLimit LineLimit_{LinesPerSecond, LineBurst};
+  RateLimit PreparationLimit_{PreparationsPerSecond, PreparationBurst};
   TimePoint SuppressedReportedAt_;
 };
 
--- a/packages/telemetry/sessionmetrics.cpp
+++ b/packages/telemetry/sessionmetrics.cpp
@@ -35,6 +35,11 @@
           .Name("nutmegloom_session_statement_seconds")
           .Help("Time from a statement to its answer")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Preparations =
+      prometheus::BuildCounter()
+          .Name("nutmegloom_session_preparations_total")
+          .Help("Statements prepared on database connections")
+          .Register(Registry);
   prometheus::Family<prometheus::Counter> &Stages =
       prometheus::BuildCounter()
           .Name("nutmegloom_promotion_stages_total")
@@ -88,6 +93,10 @@
   Times->Observe(seconds(Time));
 }
 
+void SessionMetrics::countPreparation(std::string_view Access) {
+  State_->Preparations.Add({{"access", std::string(Access)}}).Increment();
+}
+
 void SessionMetrics::countPromotionStage(std::string_view Stage,
                                          std::string_view Reason) {
   State_->Stages
--- a/packages/telemetry/sessionmetrics.h
+++ b/packages/telemetry/sessionmetrics.h
@@ -46,6 +46,8 @@
   /// texts.
   void observeStatement(std::string_view Verb, std::string_view Mode,
                         std::string_view Code, Duration Time);
+  /// Counts a statement that was prepared on a database connection.
+  void countPreparation(std::string_view Access);
   void countPromotionStage(std::string_view Stage, std::string_view Reason);
   std::string serialize(const SessionGauges &Now);
 
