Use prepared statements in the soak, with texts of several words

The soak's callers prepare, execute and replace statements; the same few names stand for different statements in different sessions, and some texts hold blanks and words of the protocol. The stand-in for databases keeps prepared statements by the protocol's grammar; before, it took the prefix of the name that this program gives for the kind of statement, so a wrong name went unseen. The check compares what stood under the name with what the caller had prepared.

--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -63,6 +63,7 @@
   Client->Host = Handlers_.PickHost();
   Client->Accepted = false;
   Client->ValueSet = false;
+  Client->Prepared.clear();
   Client->Transaction = 0;
   Client->Pending.clear();
   Client->Error.clear();
@@ -116,6 +117,8 @@
     return;
   }
   ++Answered_;
+  SentStatement &Answered = Sent_.at(Client->Pending);
+  Answered.NameUnknown = Client->Error.starts_with("NOSUCHNAME");
   ReportedOutcome Answer = outcomeOfError(std::exchange(Client->Error, {}));
   recordOutcome(*Client, Answer);
   CompletedByHost_[Client->Host] += Answer == ReportedOutcome::Done ? 1 : 0;
@@ -160,16 +163,70 @@
     send(Client, randomBetween(0, 4) == 0 ? "ROLLBACK" : "COMMIT");
     return;
   }
-  send(Client,
-       randomBetween(0, 1) == 0 ? "READ " + Item : "WRITE " + Item + " data");
+  switch (randomBetween(0, 7)) {
+  case 0:
+    prepare(Client);
+    return;
+  case 1:
+  case 2:
+  case 3:
+    execute(Client, Item);
+    return;
+  case 4:
+  case 5:
+    send(Client, "READ " + Item);
+    return;
+  default:
+    send(Client, "WRITE " + Item + " data");
+    return;
+  }
+}
+
+std::string Callers::randomShape() {
+  std::string Shape = "q" + std::to_string(randomBetween(1, 20));
+  switch (randomBetween(0, 3)) {
+  case 0:
+    return Shape + " READ cnqcgjecvq";
+  case 1:
+    return Shape + " WRITE cnqcgjecvq  data";
+  case 2:
+    return Shape +
+           std::string(static_cast<std::size_t>(randomBetween(1, 4000)), 'x');
+  default:
+    return Shape;
+  }
+}
+
+/// All callers use the same few names for different statements.
+void Callers::prepare(const std::shared_ptr<Caller> &Client) {
+  std::string Name = "s" + std::to_string(randomBetween(1, 3));
+  bool Writes = randomBetween(0, 1) == 0;
+  std::string Shape = randomShape();
+  Client->Prepared[Name] = {Writes, Shape};
+  send(Client, "PREPARE " + Name + (Writes ? " WRITE " : " READ ") + Shape);
+}
+
+void Callers::execute(const std::shared_ptr<Caller> &Client,
+                      const std::string &Item) {
+  if (Client->Prepared.empty()) {
+    prepare(Client);
+    return;
+  }
+  int Last = static_cast<int>(Client->Prepared.size()) - 1;
+  auto Chosen = std::next(Client->Prepared.begin(), randomBetween(0, Last));
+  std::string Data = Chosen->second.Writes ? " data" : "";
+  send(Client, "EXECUTE " + Chosen->first + " " + Item + Data);
+  Sent_.at(Client->Pending).Prepared = Chosen->second;
 }
 
 void Callers::send(const std::shared_ptr<Caller> &Client,
                    const std::string &Text) {
   std::string Id = std::to_string(++LastStatement_);
   Client->Pending = Id;
-  Sent_[Id] = {Text, Client->Number, Client->Transaction,
-               ReportedOutcome::NoAnswer};
+  SentStatement &Sent = Sent_[Id];
+  Sent.Text = Text;
+  Sent.Caller = Client->Number;
+  Sent.Transaction = Client->Transaction;
   Client->Stream->writeMessage("QUERY " + Id + " " + Text);
   startTimer(Client, ResponseTimeout, [this, Client] { onClosed(Client); });
 }
--- a/testing/soak/callers.h
+++ b/testing/soak/callers.h
@@ -1,7 +1,7 @@
 #ifndef NUTMEGLOOM_TESTING_SOAK_CALLERS_H
 #define NUTMEGLOOM_TESTING_SOAK_CALLERS_H
 
-#include "protocol/messagestream.h"
+#include "testing/standinsessions/sessiondatabases.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -22,6 +22,14 @@
   /// Number of the transaction; zero outside of transactions.
   std::uint64_t Transaction = 0;
   ReportedOutcome Answer = ReportedOutcome::NoAnswer;
+  /// EXECUTE: what the caller had prepared under the name.
+  std::optional<SessionDatabases::PreparedStatement> Prepared;
+  /// The caller was told that the name of an EXECUTE is unknown.
+  bool NameUnknown = false;
+
+  bool writes() const {
+    return Prepared ? Prepared->Writes : Text.starts_with("WRITE");
+  }
 };
 
 /// Callers that each use a connection of their own to send random statements
@@ -70,6 +78,8 @@
     std::string Error;
     bool Accepted = false;
     bool ValueSet = false;
+    /// Statements that the present session has prepared, by their names.
+    std::map<std::string, SessionDatabases::PreparedStatement> Prepared;
     std::uint64_t Transaction = 0;
     int StatementsLeft = 0;
   };
@@ -79,6 +89,11 @@
   void onClosed(const std::shared_ptr<Caller> &Client);
   void next(const std::shared_ptr<Caller> &Client);
   void send(const std::shared_ptr<Caller> &Client, const std::string &Text);
+  void prepare(const std::shared_ptr<Caller> &Client);
+  void execute(const std::shared_ptr<Caller> &Client, const std::string &Item);
+  /// Text to prepare: a word, several words that look like a message of the
+  /// protocol, or a long one.
+  std::string randomShape();
   void recordOutcome(Caller &Client, ReportedOutcome Answer);
   void startTimer(const std::shared_ptr<Caller> &Client,
                   std::chrono::milliseconds Time, std::function<void()> Call);
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -4,6 +4,16 @@
 
 namespace {
 
+/// Text of a statement. The proxy may change the name of a prepared statement,
+/// which must be one word, so an EXECUTE is compared without it.
+template <typename Statement> std::string withoutName(const Statement &Of) {
+  constexpr std::string_view Verb = "EXECUTE ";
+  if (!Of.Prepared)
+    return Of.Text;
+  std::size_t End = Of.Text.find(' ', Verb.size());
+  return End == std::string::npos ? "" : Of.Text.substr(End);
+}
+
 /// Checks the statements that databases executed, then the writes of the
 /// callers.
 class ExecutionChecker {
@@ -17,8 +27,11 @@
       return;
     }
     const SentStatement &Sent = Found->second;
-    if (Sent.Text != Execution.Text)
-      report("a statement ran with another text", Execution);
+    if (withoutName(Sent) != withoutName(Execution))
+      report("a statement ran with another text, sent as \"" + Sent.Text + "\"",
+             Execution);
+    else if (Sent.Prepared != Execution.Prepared)
+      report("a prepared statement ran as another one", Execution);
     auto Value = Execution.Values.find(Callers::ValueName);
     bool HasOwnValue = Execution.Values.size() == 1 &&
                        Value != Execution.Values.end() &&
@@ -26,14 +39,18 @@
     if (!HasOwnValue)
       report("a statement ran with the values of another session", Execution);
     checkTransaction(Sent, Execution);
-    if (Execution.Committed && Execution.Text.starts_with("WRITE"))
+    if (Execution.Committed && Sent.writes())
       ++KeptCounts_[Execution.Statement];
   }
 
   std::vector<std::string> finish() {
-    for (const auto &[Id, Sent] : Callers_.sent())
-      if (Sent.Text.starts_with("WRITE"))
+    for (const auto &[Id, Sent] : Callers_.sent()) {
+      if (Sent.NameUnknown)
+        Violations_.push_back("a name is unknown that was prepared: " + Id +
+                              " " + Sent.Text);
+      if (Sent.writes())
         checkWrite(Id, Sent);
+    }
     return std::move(Violations_);
   }
 
--- a/testing/standinsessions/sessiondatabases.cpp
+++ b/testing/standinsessions/sessiondatabases.cpp
@@ -104,8 +104,37 @@
                        "\r\n");
 }
 
-/// Runs statements that do not change data: status, begin, rollback, reset and
-/// set. Others are ignored.
+bool SessionDatabases::prepare(Session &Client, const std::string &Text) {
+  std::istringstream Words(Text);
+  std::string Verb;
+  std::string Name;
+  std::string Access;
+  Words >> Verb >> Name >> Access;
+  if (Access != "READ" && Access != "WRITE")
+    return false;
+  std::string Shape;
+  Words.ignore();
+  std::getline(Words, Shape);
+  if (Shape.empty())
+    return false;
+  Client.Prepared[Name] = {Access == "WRITE", Shape};
+  return true;
+}
+
+std::optional<SessionDatabases::PreparedStatement>
+SessionDatabases::preparedFor(const Session &Client, const std::string &Text) {
+  std::istringstream Words(Text);
+  std::string Verb;
+  std::string Name;
+  Words >> Verb >> Name;
+  auto Found = Client.Prepared.find(Name);
+  if (Found == Client.Prepared.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+/// Runs statements that do not change data: status, begin, rollback, reset,
+/// set and prepare. Others are ignored.
 std::string SessionDatabases::runControlStatement(const std::string &Id,
                                                   Session &Client,
                                                   const std::string &Text) {
@@ -124,8 +153,10 @@
     Client.Writes = 0;
     Client.Transaction = 0;
   }
-  if (Text == "RESET")
+  if (Text == "RESET") {
     Client.Values.clear();
+    Client.Prepared.clear();
+  }
   if (Text.starts_with("SET ")) {
     std::size_t Space = Text.find(' ', 4);
     Client.Values[Text.substr(4, Space - 4)] = Text.substr(Space + 1);
@@ -145,8 +176,21 @@
       return "ERROR LAGGING " + Id + "\r\n";
     Text = Text.substr(Space + 1);
   }
-  bool Writes = Text.starts_with("WRITE") || Text.starts_with("EXECUTE w_");
-  bool Reads = Text.starts_with("READ") || Text.starts_with("EXECUTE r_");
+  if (Text.starts_with("PREPARE ") && !prepare(Client, Text)) {
+    Client.State = Client.State == "T" ? "E" : Client.State;
+    return "ERROR MALFORMED -\r\n";
+  }
+  std::optional<PreparedStatement> Prepared;
+  bool Executes = Text.starts_with("EXECUTE ");
+  if (Executes) {
+    Prepared = preparedFor(Client, Text);
+    if (!Prepared) {
+      Client.State = Client.State == "T" ? "E" : Client.State;
+      return "ERROR NOSUCHNAME -\r\n";
+    }
+  }
+  bool Writes = Executes ? Prepared->Writes : Text.starts_with("WRITE");
+  bool Reads = Executes ? !Prepared->Writes : Text.starts_with("READ");
   bool Commits = Text == "COMMIT";
   if (!Writes && !Reads && !Commits)
     return runControlStatement(Id, Client, Text) + "COMPLETE -\r\n";
@@ -157,8 +201,8 @@
     return "ERROR READONLY " + Id + "\r\n";
   }
   Executed_.emplace_back(Id, Text);
-  Runs_.push_back({Statement, Text, Id, Client.Values, Client.Transaction,
-                   Writes && Client.State == "I"});
+  Runs_.push_back({Statement, Text, Prepared, Id, Client.Values,
+                   Client.Transaction, Writes && Client.State == "I"});
   if (Writes && Client.State == "T")
     ++Client.Writes;
   else if (Writes)
--- a/testing/standinsessions/sessiondatabases.h
+++ b/testing/standinsessions/sessiondatabases.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace nutmegloom::testing {
@@ -38,10 +39,19 @@
   /// Number of committed writes.
   std::size_t commits() const { return Index_; }
 
+  /// A statement that was prepared on a connection.
+  struct PreparedStatement {
+    bool Writes = false;
+    std::string Shape;
+    bool operator==(const PreparedStatement &) const = default;
+  };
+
   /// A read, write or commit that a database executed.
   struct Run {
     std::string Statement;
     std::string Text;
+    /// EXECUTE: what stood under the name on this connection.
+    std::optional<PreparedStatement> Prepared;
     std::string Database;
     std::map<std::string, std::string> Values;
     /// Number of the database transaction; zero outside of transactions.
@@ -70,6 +80,7 @@
     /// Indexes in Runs_ of the open transaction's statements.
     std::vector<std::size_t> OpenRuns;
     std::map<std::string, std::string> Values;
+    std::map<std::string, PreparedStatement> Prepared;
   };
 
   void accept(const std::string &Id);
@@ -78,6 +89,12 @@
                            const std::string &Statement, std::string Text);
   std::string runControlStatement(const std::string &Id, Session &Client,
                                   const std::string &Text);
+  /// Prepares "PREPARE name READ|WRITE shape". Returns false if it is not
+  /// valid.
+  static bool prepare(Session &Client, const std::string &Text);
+  /// Statement under the name of "EXECUTE name item [data]", if there is one.
+  static std::optional<PreparedStatement> preparedFor(const Session &Client,
+                                                      const std::string &Text);
   void listen(const std::string &Id, std::uint16_t Port);
 
   std::string Group_;
