Name prepared statements by number, not by the caller's text

What callers saw: a statement prepared with a text of several words ran as something that nobody had sent. A caller's EXECUTE s1 45 data, after PREPARE s1 WRITE q20 READ cnqcgjecvq, reached the database as EXECUTE w_q20 READ cnqcgjecvq 45 data. The database took w_q20 for the name, which PREPARE had bound to another kind and text: a write ran as a read and was acknowledged but not kept, and a plain text q20 ran what the longer one had left under the same name.

Cause: the name at the database was a prefix and the caller's text. The protocol ends a name at the first blank; only the last field of a message may hold blanks, and a prepared text is a last field.

Change: a host counts the statements that it prepares and names each by its number. The name holds nothing of the text, two texts can't meet under one name, and none is given twice, also if a database refuses a RESET. The member chooses the name, not the host that relays; the relay message still carries the old name for hosts of earlier versions.

Failed before: SessionServiceTest::namesAPreparedStatementByOneWord, PlatformHostTest::executesAPreparedTextOfSeveralWords and ::executesAPreparedTextOfOverHalfAMessage (the text stood twice in one message of at most 1 MiB). The tests that spelled the old names now require one word and the caller's text under it; that a name depends on the text alone is no longer required, that it stands for one text is.

--- a/packages/protocol/relay.capnp
+++ b/packages/protocol/relay.capnp
@@ -62,7 +62,8 @@
     group @2 :Text;
     id @3 :Text;
     text @4 :Text;
-    # Name of the prepared statement on database connections; empty: none.
+    # Empty: the statement is not prepared. Otherwise the name by which hosts of
+    # earlier versions execute it; later ones choose a name of their own.
     preparedName @5 :Text;
     preparedShape @6 :Text;
     preparedWrites @7 :Bool;
--- a/packages/protocol/relaycodec.cpp
+++ b/packages/protocol/relaycodec.cpp
@@ -55,6 +55,12 @@
   return static_cast<Enum>(Field);
 }
 
+/// Hosts of earlier versions prepare and execute the statement by this name.
+std::string nameForEarlierHosts(const PreparedShape &Prepared) {
+  return (Prepared.Access == StatementKind::Read ? "r_" : "w_") +
+         Prepared.Shape;
+}
+
 void encodeWork(Wire::Work::Builder To, const RelayedStatement &Message) {
   const StatementWork &Work = Message.Work;
   To.setSession(Work.Session);
@@ -63,7 +69,7 @@
   To.setId(readerOf(Work.Command.Id));
   To.setText(readerOf(Work.Command.Text));
   if (Work.Prepared) {
-    To.setPreparedName(readerOf(Work.Command.Name));
+    To.setPreparedName(nameForEarlierHosts(*Work.Prepared));
     To.setPreparedShape(readerOf(Work.Prepared->Shape));
     To.setPreparedWrites(Work.Prepared->Access == StatementKind::Write);
   }
@@ -95,8 +101,7 @@
   Work.Group = textOf(From.getGroup());
   Work.Command.Id = textOf(From.getId());
   Work.Command.Text = textOf(From.getText());
-  Work.Command.Name = textOf(From.getPreparedName());
-  if (!Work.Command.Name.empty()) {
+  if (From.getPreparedName().size() > 0) {
     StatementKind Access =
         From.getPreparedWrites() ? StatementKind::Write : StatementKind::Read;
     Work.Prepared = {Access, textOf(From.getPreparedShape())};
--- a/packages/sessions/databasepool.cpp
+++ b/packages/sessions/databasepool.cpp
@@ -22,14 +22,10 @@
 
 } // namespace
 
-std::string sharedNameOf(const PreparedShape &Prepared) {
-  return (Prepared.Access == StatementKind::Read ? "r_" : "w_") +
-         Prepared.Shape;
-}
-
 std::vector<DatabaseCommand> commandsToMatch(const ConnectionProfile &Profile,
                                              const SessionVariables &Variables,
-                                             const PreparedShape *Prepared) {
+                                             const PreparedShape *Prepared,
+                                             const std::string &NewName) {
   std::vector<DatabaseCommand> Commands;
   bool HasOthers = std::any_of(
       Profile.Variables.begin(), Profile.Variables.end(),
@@ -50,11 +46,10 @@
     Set.Text = Value;
     Commands.push_back(Set);
   }
-  if (Prepared &&
-      (Resets || !Profile.Prepared.contains(sharedNameOf(*Prepared)))) {
+  if (Prepared && (Resets || !Profile.Prepared.contains(*Prepared))) {
     DatabaseCommand Prepare;
     Prepare.Verb = CommandVerb::Prepare;
-    Prepare.Name = sharedNameOf(*Prepared);
+    Prepare.Name = NewName;
     Prepare.Access = Prepared->Access;
     Prepare.Text = Prepared->Shape;
     Commands.push_back(Prepare);
@@ -62,6 +57,15 @@
   return Commands;
 }
 
+void applyCommand(ConnectionProfile &Profile, const DatabaseCommand &Command) {
+  if (Command.Verb == CommandVerb::Reset)
+    Profile = ConnectionProfile{};
+  if (Command.Verb == CommandVerb::SetVariable)
+    Profile.Variables[Command.Name] = Command.Text;
+  if (Command.Verb == CommandVerb::Prepare)
+    Profile.Prepared[{Command.Access, Command.Text}] = Command.Name;
+}
+
 DatabasePool::DatabasePool(const DatabaseTable &Table, Hooks Callbacks)
     : Table_(Table), Hooks_(std::move(Callbacks)) {}
 
@@ -76,12 +80,12 @@
   // can be closed.
   auto Best = Idle.end() - 1;
   std::size_t BestCommands =
-      commandsToMatch(Connections_.at(*Best).Profile, Variables, nullptr)
+      commandsToMatch(Connections_.at(*Best).Profile, Variables, nullptr, {})
           .size();
   for (auto At = Idle.end() - 1; BestCommands > 0 && At != Idle.begin();) {
     --At;
     std::size_t Commands =
-        commandsToMatch(Connections_.at(*At).Profile, Variables, nullptr)
+        commandsToMatch(Connections_.at(*At).Profile, Variables, nullptr, {})
             .size();
     if (Commands >= BestCommands)
       continue;
--- a/packages/sessions/databasepool.h
+++ b/packages/sessions/databasepool.h
@@ -14,27 +14,29 @@
 struct PreparedShape {
   StatementKind Access = StatementKind::Read;
   std::string Shape;
+  auto operator<=>(const PreparedShape &) const = default;
 };
 
-/// Name under which a statement is prepared on database connections. It depends
-/// only on the statement and its kind, so sessions that use the same name for
-/// different statements can share a connection.
-std::string sharedNameOf(const PreparedShape &Prepared);
-
 /// Session variables and prepared statements that are set on a database
 /// connection.
 struct ConnectionProfile {
   SessionVariables Variables;
-  std::set<std::string> Prepared;
+  /// The prepared statements and their names on the connection. Sessions that
+  /// prepared the same statement share it.
+  std::map<PreparedShape, std::string> Prepared;
   /// The variables on the connection may differ from Variables.
   bool Uncertain = false;
 };
 
 /// Commands that set exactly these session variables on a connection and
-/// prepare the statement, if one is given (not null).
+/// prepare the statement, if one is given (not null) and isn't prepared yet.
+/// NewName: its name then, which must not have been used on the connection.
 std::vector<DatabaseCommand> commandsToMatch(const ConnectionProfile &Profile,
                                              const SessionVariables &Variables,
-                                             const PreparedShape *Prepared);
+                                             const PreparedShape *Prepared,
+                                             const std::string &NewName);
+/// Updates the profile of a connection to which the command is sent.
+void applyCommand(ConnectionProfile &Profile, const DatabaseCommand &Command);
 
 /// The connections of this host to the databases.
 ///
--- a/packages/sessions/sessionproxy.cpp
+++ b/packages/sessions/sessionproxy.cpp
@@ -215,7 +215,6 @@
   Work.Command.Id = Statement.Id;
   Work.Command.Text = Statement.Text;
   if (Shape) {
-    Work.Command.Name = sharedNameOf(*Shape);
     Work.Command.Text = Statement.Argument;
     Work.Prepared = *Shape;
   }
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -167,19 +167,21 @@
   Hooks_.Send(Connection, Command);
 }
 
+/// A statement's name contains nothing of its text, which may hold blanks, and
+/// a name ends at a blank. No name is given twice, so that none stands for two
+/// statements if a database refuses a RESET.
 void StatementRunner::prepareConnection(ConnectionId Connection,
                                         const StatementWork &Work,
                                         TimePoint Now) {
   ConnectionProfile &Profile = Pool_.profileOf(Connection);
   const PreparedShape *Prepared = Work.Prepared ? &*Work.Prepared : nullptr;
+  std::string NewName =
+      Prepared ? "p" + std::to_string(PreparationCount_ + 1) : "";
   for (const DatabaseCommand &Command :
-       commandsToMatch(Profile, Work.Variables, Prepared)) {
-    if (Command.Verb == CommandVerb::Reset)
-      Profile = ConnectionProfile{};
-    if (Command.Verb == CommandVerb::SetVariable)
-      Profile.Variables[Command.Name] = Command.Text;
+       commandsToMatch(Profile, Work.Variables, Prepared, NewName)) {
+    applyCommand(Profile, Command);
     if (Command.Verb == CommandVerb::Prepare) {
-      Profile.Prepared.insert(Command.Name);
+      ++PreparationCount_;
       reportPreparation(Connection, Work.Command.Id, Command, Now);
     }
     ConnectionState &Used = Connections_[Connection];
@@ -306,6 +308,8 @@
     Task.LeadershipRevision = Record->Revision;
   prepareConnection(Connection, Task.Work, Now);
   DatabaseCommand Command = Task.Work.Command;
+  if (Task.Work.Prepared)
+    Command.Name = Pool_.profileOf(Connection).Prepared.at(*Task.Work.Prepared);
   bool Alone = !Task.Work.Pinned && !Task.Work.Opens;
   if (Alone && Task.Work.Repeatable)
     Command.MinimumPosition = Task.MinimumPosition;
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -209,6 +209,8 @@
   StatementQueue Queue_;
   std::map<CallerSessionId, Progress> Statements_;
   std::map<ConnectionId, ConnectionState> Connections_;
+  /// Number of statements that were prepared on connections.
+  std::uint64_t PreparationCount_ = 0;
   /// Databases to which the latest attempt to open a connection failed.
   std::set<DatabaseId> Unreachable_;
 };
--- a/packages/sessions/statementwork.h
+++ b/packages/sessions/statementwork.h
@@ -9,7 +9,8 @@
 struct StatementWork {
   CallerSessionId Session = 0;
   GroupId Group;
-  /// The caller's statement as it is sent to the database.
+  /// The caller's statement as it is sent to the database. The name of a
+  /// prepared statement depends on the connection and is not set here.
   DatabaseCommand Command;
   /// Session variables that must be set on the connection.
   SessionVariables Variables;
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(servesAStatement);
   CPPUNIT_TEST(refusesUnknownDatabases);
   CPPUNIT_TEST(servesATransactionWithPreparedStatement);
+  CPPUNIT_TEST(executesAPreparedTextOfSeveralWords);
+  CPPUNIT_TEST(executesAPreparedTextOfOverHalfAMessage);
   CPPUNIT_TEST(appliesChangedRoutes);
   CPPUNIT_TEST(listsAgainAfterHistoryCompaction);
   CPPUNIT_TEST(replacesALostPrimary);
@@ -219,8 +221,43 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Databases_.commits());
     ask(*Caller, "QUERY q5 COMMIT");
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Databases_.commits());
-    CPPUNIT_ASSERT_EQUAL(std::string("EXECUTE w_shape x data"),
-                         Databases_.executed().at(0).second);
+    checkExecuted(Databases_.runs().at(0), {true, "shape"}, " x data");
+  }
+
+  /// Checks that a database ran "EXECUTE NAME" and the arguments, with one word
+  /// as the name, and had the prepared statement under it.
+  static void
+  checkExecuted(const testing::SessionDatabases::Run &Run,
+                const testing::SessionDatabases::PreparedStatement &Prepared,
+                const std::string &Arguments) {
+    std::string Verb = "EXECUTE ";
+    CPPUNIT_ASSERT(Run.Text.starts_with(Verb));
+    std::size_t NameEnd = Run.Text.find(' ', Verb.size());
+    CPPUNIT_ASSERT(NameEnd != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(Arguments, Run.Text.substr(NameEnd));
+    CPPUNIT_ASSERT(Run.Prepared == Prepared);
+  }
+
+  // Guards against a database that runs a part of the prepared text as the
+  // statement's arguments.
+  void executesAPreparedTextOfSeveralWords() {
+    auto Caller = connect("d1");
+    ask(*Caller, "QUERY q1 PREPARE s1 WRITE q7 READ cnqcgjecvq");
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*Caller, "QUERY q2 EXECUTE s1 f3 data")[0]);
+    checkExecuted(Databases_.runs().at(0), {true, "q7 READ cnqcgjecvq"},
+                  " f3 data");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Databases_.commits());
+  }
+
+  // Guards against a text that stands twice in one message of at most 1 MiB.
+  void executesAPreparedTextOfOverHalfAMessage() {
+    auto Caller = connect("d1");
+    std::string Text(MaximumLineBytes * 2 / 3, 'q');
+    ask(*Caller, "QUERY q1 PREPARE s1 READ " + Text);
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*Caller, "QUERY q2 EXECUTE s1 f3")[1]);
+    checkExecuted(Databases_.runs().at(0), {false, Text}, " f3");
   }
 
   void appliesChangedRoutes() {
--- a/tests/protocol/relaycodectest.cpp
+++ b/tests/protocol/relaycodectest.cpp
@@ -23,7 +23,8 @@
     bool Passed =
         rc::check("work", [](const std::string &Text, const std::string &Name,
                              const std::map<std::string, std::string> &Values,
-                             bool Writes, bool Pinned, std::uint64_t Index) {
+                             bool Writes, bool Pinned, bool IsPrepared,
+                             std::uint64_t Index) {
           RelayedStatement Message;
           Message.Number = Index;
           Message.TimeLeft = Milliseconds{900};
@@ -33,10 +34,9 @@
           Work.Group = Name;
           Work.Command.Id = Name;
           Work.Command.Text = Text;
-          if (!Name.empty()) {
-            Work.Command.Name = Name;
-            Work.Prepared = {StatementKind::Write, Text};
-          }
+          if (IsPrepared)
+            Work.Prepared = {
+                Writes ? StatementKind::Write : StatementKind::Read, Text};
           Work.Variables = Values;
           Work.Writes = Writes;
           Work.NeedsLeader = !Writes;
@@ -54,11 +54,8 @@
           RC_ASSERT(Read.Work.Group == Work.Group);
           RC_ASSERT(Read.Work.Command.Id == Work.Command.Id);
           RC_ASSERT(Read.Work.Command.Text == Text);
-          RC_ASSERT(Read.Work.Command.Name == Work.Command.Name);
-          RC_ASSERT(Read.Work.Prepared.has_value() ==
-                    Work.Prepared.has_value());
-          if (Work.Prepared)
-            RC_ASSERT(Read.Work.Prepared->Shape == Work.Prepared->Shape);
+          RC_ASSERT(Read.Work.Command.Name.empty());
+          RC_ASSERT(Read.Work.Prepared == Work.Prepared);
           RC_ASSERT(Read.Work.Variables == Values);
           RC_ASSERT(Read.Work.Writes == Writes);
           RC_ASSERT(Read.Work.NeedsLeader == Work.NeedsLeader);
--- a/tests/sessions/databasepooltest.cpp
+++ b/tests/sessions/databasepooltest.cpp
@@ -46,7 +46,7 @@
       if (Command.Verb == CommandVerb::SetVariable)
         Profile.Variables[Command.Name] = Command.Text;
       if (Command.Verb == CommandVerb::Prepare)
-        Profile.Prepared.insert(Command.Name);
+        Profile.Prepared[{Command.Access, Command.Text}] = Command.Name;
     }
   }
 
@@ -66,10 +66,18 @@
       Profile.Uncertain = *rc::gen::arbitrary<bool>();
       SessionVariables Wanted = MakeValues();
       PreparedShape Shape{StatementKind::Read, "q1"};
-      applyCommands(Profile, commandsToMatch(Profile, Wanted, &Shape));
+      ConnectionProfile Sent = Profile;
+      for (const auto &Command :
+           commandsToMatch(Profile, Wanted, &Shape, "p1")) {
+        applyCommands(Profile, {Command});
+        applyCommand(Sent, Command);
+      }
       RC_ASSERT(Profile.Variables == Wanted);
       RC_ASSERT(!Profile.Uncertain);
-      RC_ASSERT(Profile.Prepared.contains(sharedNameOf(Shape)));
+      RC_ASSERT(Profile.Prepared.at(Shape) == "p1");
+      RC_ASSERT(Sent.Variables == Profile.Variables);
+      RC_ASSERT(Sent.Prepared == Profile.Prepared);
+      RC_ASSERT(Sent.Uncertain == Profile.Uncertain);
     });
     CPPUNIT_ASSERT(Holds);
   }
@@ -77,14 +85,20 @@
   void preparesAShapeOnceForAllSessions() {
     PreparedShape Shape{StatementKind::Write, "q1"};
     ConnectionProfile Profile;
-    applyCommands(Profile, commandsToMatch(Profile, {}, &Shape));
-    CPPUNIT_ASSERT(commandsToMatch(Profile, {}, &Shape).empty());
+    applyCommands(Profile, commandsToMatch(Profile, {}, &Shape, "p1"));
+    CPPUNIT_ASSERT(commandsToMatch(Profile, {}, &Shape, "p2").empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("p1"), Profile.Prepared.at(Shape));
   }
 
   // A read and a write of the same shape are different statements.
   void keepsNamesOfDifferentShapesApart() {
-    CPPUNIT_ASSERT(sharedNameOf({StatementKind::Read, "q1"}) !=
-                   sharedNameOf({StatementKind::Write, "q1"}));
+    PreparedShape Read{StatementKind::Read, "q1"};
+    PreparedShape Write{StatementKind::Write, "q1"};
+    ConnectionProfile Profile;
+    applyCommands(Profile, commandsToMatch(Profile, {}, &Read, "p1"));
+    applyCommands(Profile, commandsToMatch(Profile, {}, &Write, "p2"));
+    CPPUNIT_ASSERT_EQUAL(std::string("p1"), Profile.Prepared.at(Read));
+    CPPUNIT_ASSERT_EQUAL(std::string("p2"), Profile.Prepared.at(Write));
   }
 
   /// Opens connections as long as the pool allows it and returns their number.
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace nutmegloom {
 
 /// Tests the answers that callers get from hosts that hold connections to
@@ -17,6 +19,9 @@
   CPPUNIT_TEST(abortsAnIdleTransaction);
   CPPUNIT_TEST(runsEachStatementWithItsOwnValues);
   CPPUNIT_TEST(reportsAnUnknownPreparedStatement);
+  CPPUNIT_TEST(namesAPreparedStatementByOneWord);
+  CPPUNIT_TEST(keepsPreparedTextsApartThatBeginAlike);
+  CPPUNIT_TEST(givesNoNameOfAPreparedStatementTwice);
   CPPUNIT_TEST(reportsALostWriteAsInDoubt);
   CPPUNIT_TEST(retriesALostRead);
   CPPUNIT_TEST(abortsATransactionWhoseDatabaseCrashes);
@@ -168,6 +173,64 @@
                    Code::UnknownName);
   }
 
+  static bool isWord(const std::string &Text) {
+    return !Text.empty() && std::all_of(Text.begin(), Text.end(), [](char C) {
+      return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9');
+    });
+  }
+
+  /// Prepares the text in the session and executes it. Returns what ran.
+  static Simulation::Execution executePrepared(Simulation &Sim,
+                                               CallerSessionId Id,
+                                               const std::string &Text) {
+    Sim.ask(0, Id, Verb::Prepare, Text);
+    CPPUNIT_ASSERT(Sim.ask(0, Id, Verb::Execute).Code == Code::Done);
+    return Sim.executions().back();
+  }
+
+  // Guards against a name that the database takes for a name and arguments.
+  void namesAPreparedStatementByOneWord() {
+    auto Sim = startSimulation();
+    CallerSessionId Id = Sim->open(0, "primary");
+    for (const std::string &Text :
+         {std::string("q1"), std::string("q1 READ other"), std::string(" q1"),
+          std::string("q1 "), std::string(3000, 'q')}) {
+      Simulation::Execution Run = executePrepared(*Sim, Id, Text);
+      CPPUNIT_ASSERT(isWord(Run.Name));
+      CPPUNIT_ASSERT_EQUAL(Text, Run.Prepared->Shape);
+      CPPUNIT_ASSERT_EQUAL(std::string("x"), Run.Text);
+    }
+  }
+
+  // Guards against two statements under one name.
+  void keepsPreparedTextsApartThatBeginAlike() {
+    auto Sim = startSimulation();
+    CallerSessionId First = Sim->open(0, "primary");
+    CallerSessionId Second = Sim->open(0, "primary");
+    for (int Round = 0; Round < 5; ++Round) {
+      CPPUNIT_ASSERT_EQUAL(std::string("q1"),
+                           executePrepared(*Sim, First, "q1").Prepared->Shape);
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("q1 READ other"),
+          executePrepared(*Sim, Second, "q1 READ other").Prepared->Shape);
+    }
+  }
+
+  // Guards against an EXECUTE of an earlier statement after a refused RESET.
+  void givesNoNameOfAPreparedStatementTwice() {
+    auto Sim = startSimulation();
+    std::set<std::string> Names;
+    for (int Round = 0; Round < 5; ++Round) {
+      // Variables of the session before make the connection be reset.
+      CallerSessionId Id = Sim->open(0, "primary");
+      Sim->ask(0, Id, Verb::SetVariable, "v" + std::to_string(Round));
+      Names.insert(executePrepared(*Sim, Id, "q" + std::to_string(Round)).Name);
+      Sim->engine(0).sessions().close(Id, Sim->now());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), Names.size());
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
   void reportsALostWriteAsInDoubt() {
     auto Sim = startSimulation();
     CallerSessionId Id = Sim->open(0, "primary");
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -56,7 +56,8 @@
   // Callers.
   /// Opens a session at a host for the route "primary", "bounded" or "own".
   CallerSessionId open(std::size_t Host, const std::string &Route);
-  /// Sends a statement without waiting for its answer.
+  /// Sends a statement without waiting for its answer. Prepare: Text is what
+  /// the session's one prepared statement, a read, consists of.
   void send(std::size_t Host, CallerSessionId Session, StatementVerb Verb,
             const std::string &Text = "x");
   /// Answer to the latest statement of the session; nothing before it arrives.
@@ -92,6 +93,9 @@
     std::string Text;
     SessionVariables Variables;
     bool InTransaction = false;
+    /// Name of the prepared statement at the database, and what stood under it.
+    std::string Name;
+    std::optional<PreparedShape> Prepared;
   };
   const std::vector<Execution> &executions() const { return Executions_; }
   std::size_t connectionsOf(const DatabaseId &Id) const;
--- a/tests/sessions/simulationcallers.cpp
+++ b/tests/sessions/simulationcallers.cpp
@@ -31,6 +31,14 @@
     Statement.Name = Text;
     Statement.Argument = Text;
     break;
+  case StatementVerb::Prepare:
+    Statement.Name = "s";
+    Statement.Argument = Text;
+    break;
+  case StatementVerb::Execute:
+    Statement.Name = "s";
+    Statement.Argument = "x";
+    break;
   default:
     break;
   }
--- a/tests/sessions/simulationdatabases.cpp
+++ b/tests/sessions/simulationdatabases.cpp
@@ -107,7 +107,10 @@
     On.Variables[Command.Name] = Command.Text;
     break;
   case CommandVerb::Prepare:
-    On.Prepared.insert(Command.Name);
+    On.Prepared[Command.Name] = {Command.Access, Command.Text};
+    if (!On.NamesUsed.insert(Command.Name).second)
+      Violations_.push_back("the name " + Command.Name +
+                            " was given twice on a connection");
     break;
   case CommandVerb::Reset:
     On.Variables.clear();
@@ -139,12 +142,22 @@
           return Entry.second.StatementId == Command.Id;
         });
     bool InTransaction = On.State == TransactionStatus::InTransaction;
-    Executions_.push_back(
-        {On.Database, Command.Text, On.Variables, InTransaction});
+    std::optional<PreparedShape> Prepared;
+    if (!Command.Name.empty()) {
+      auto Found = On.Prepared.find(Command.Name);
+      if (Found == On.Prepared.end()) {
+        Fail(StatementCode::UnknownName);
+        break;
+      }
+      Prepared = Found->second;
+    }
+    Executions_.push_back({On.Database, Command.Text, On.Variables,
+                           InTransaction, Command.Name, Prepared});
     bool Lost =
         InTransaction && !On.ReadOnly && (!Leads || At.Term != On.BegunTerm);
     bool IsCommit = Command.Text == "COMMIT";
-    bool IsWrite = Command.Text.starts_with("WRITE");
+    bool IsWrite = Prepared ? Prepared->Access == StatementKind::Write
+                            : Command.Text.starts_with("WRITE");
     Answer.Signature = "s";
     if (Command.MinimumPosition && !At.holds(*Command.MinimumPosition)) {
       Fail(StatementCode::Behind);
--- a/tests/sessions/simulationstate.h
+++ b/tests/sessions/simulationstate.h
@@ -51,7 +51,9 @@
   std::size_t Writes = 0;
   CallerSessionId Session = 0;
   SessionVariables Variables;
-  std::set<std::string> Prepared;
+  std::map<std::string, PreparedShape> Prepared;
+  /// Names of all statements that were ever prepared on the connection.
+  std::set<std::string> NamesUsed;
   TimePoint BusyUntil;
 };
 
