--- a/tests/platform/linecodectest.cpp
+++ b/tests/platform/linecodectest.cpp
@@ -9,6 +9,8 @@
   CPPUNIT_TEST_SUITE(LineCodecTest);
   CPPUNIT_TEST(readsCallersMessages);
   CPPUNIT_TEST(rejectsUnsupportedStatements);
+  CPPUNIT_TEST(rejectsStatementsWithAMissingField);
+  CPPUNIT_TEST(keepsTheFieldsOfPreparations);
   CPPUNIT_TEST(keepsForwardedTextUnchanged);
   CPPUNIT_TEST(writesCommands);
   CPPUNIT_TEST(readsAnswers);
@@ -48,6 +50,53 @@
         line::readCallerMessage("HELLO there")));
   }
 
+  // Guards against a statement that reaches a database under another id, name
+  // or text than its caller sent.
+  void rejectsStatementsWithAMissingField() {
+    for (const char *Text :
+         {"QUERY  READ x", "QUERY - READ x", "QUERY i SET  value",
+          "QUERY i PREPARE s READ", "QUERY i PREPARE s WRITE ",
+          "QUERY i PREPARE  READ q"})
+      CPPUNIT_ASSERT(statement(Text).Verb == StatementVerb::Unreadable);
+  }
+
+  /// Returns the text before the next blank and removes both from Rest.
+  static std::string takeWord(std::string &Rest) {
+    std::size_t End = std::min(Rest.find(' '), Rest.size());
+    std::string Word = Rest.substr(0, End);
+    Rest.erase(0, End + 1);
+    return Word;
+  }
+
+  // Guards against field boundaries that move between a caller's message and
+  // the command that a database gets.
+  void keepsTheFieldsOfPreparations() {
+    auto Any = rc::gen::container<std::string>(rc::gen::element(' ', 'a', 'b'));
+    bool Holds = rc::check("any fields", [Any] {
+      std::string Verb = *rc::gen::element<std::string>("SET", "PREPARE");
+      std::string Access = Verb == "PREPARE" ? " READ " : " ";
+      CallerStatement Sent =
+          statement("QUERY i " + Verb + " " + *Any + Access + *Any);
+      if (Sent.Verb == StatementVerb::Unreadable)
+        return;
+      DatabaseCommand Command;
+      bool Prepares = Sent.Verb == StatementVerb::Prepare;
+      Command.Verb = Prepares ? CommandVerb::Prepare : CommandVerb::SetVariable;
+      Command.Name = Sent.Name;
+      Command.Text = Sent.Argument;
+      std::string Rest = line::writeCommand(Command);
+      Rest.resize(Rest.size() - std::string_view("\r\n").size());
+      RC_ASSERT(takeWord(Rest) == "QUERY");
+      RC_ASSERT(takeWord(Rest) == "-");
+      RC_ASSERT(takeWord(Rest) == Verb);
+      RC_ASSERT(takeWord(Rest) == Sent.Name);
+      if (Prepares)
+        RC_ASSERT(takeWord(Rest) == "READ");
+      RC_ASSERT(Rest == Sent.Argument);
+    });
+    CPPUNIT_ASSERT(Holds);
+  }
+
   void keepsForwardedTextUnchanged() {
     DatabaseCommand Command;
     Command.Id = "5c0e";
