Percent-encode names in the targets of calls to the store

An object that another program has written among the databases, with a blank in its name and last on a page of the list, made the call for the next page malformed, so the list could not be read to its end; a line end in it would have begun a header. Read in the code and shown by unit tests; not seen on processes, where lists have one page.

Names of today (words, dots, hyphens) stay as they were, byte for byte.

--- a/packages/protocol/platformclient.cpp
+++ b/packages/protocol/platformclient.cpp
@@ -1,6 +1,7 @@
 #include "protocol/platformclient.h"
 
 #include "protocol/httpconnection.h"
+#include "protocol/percentencoding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -151,7 +152,7 @@
 private:
   static std::string objectTarget(const std::string &Kind,
                                   const std::string &Name) {
-    return "/v1/objects/" + Kind + "/" + Name;
+    return "/v1/objects/" + Kind + "/" + percentEncode(Name);
   }
 
   void send(HttpRequest Request, Milliseconds Timeout,
--- /dev/null
+++ b/tests/platform/objectstoretest.cpp
@@ -0,0 +1,78 @@
+#include "platform/objectstore.h"
+
+#include "protocol/httpserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace nutmegloom {
+
+/// Runs an ObjectStore against a server that records the targets of requests.
+class ObjectStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ObjectStoreTest);
+  CPPUNIT_TEST(keepsAnObjectNameInsideItsPartOfTheTarget);
+  CPPUNIT_TEST(keepsThePageNameInsideItsParameter);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Another program may have given an object such a name.
+  static constexpr const char *OddName = "a b/c?d=1&e#f%\r\ng";
+  static constexpr const char *OddNameEscaped =
+      "a%20b%2Fc%3Fd%3D1%26e%23f%25%0D%0Ag";
+
+  boost::asio::io_context Io_;
+  std::vector<std::string> Targets_;
+  std::vector<std::string> Bodies_;
+  std::shared_ptr<HttpServer> Server_ = HttpServer::create(
+      Io_, {}, [this](const HttpServerRequest &Request, auto Respond) {
+        Targets_.emplace_back(Request.Target);
+        HttpResponse Response;
+        Response.Status = 200;
+        Response.Body = Bodies_.at(Targets_.size() - 1);
+        Respond(Response);
+        return std::function<void()>();
+      });
+  ObjectStore Store_{Io_,
+                     std::get<std::string>(Server_->listen("127.0.0.1:0"))};
+
+  static std::string objectBody() {
+    return R"({"meta":{"Name":"a b/c?d=1&e#f%\r\ng","Revision":3},"spec":{}})";
+  }
+
+  template <typename T>
+  T await(std::optional<std::variant<T, StoreError>> &Result) {
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!Result && std::chrono::steady_clock::now() < End)
+      Io_.run_one_for(std::chrono::milliseconds(20));
+    CPPUNIT_ASSERT(Result);
+    return std::get<T>(*Result);
+  }
+
+  void keepsAnObjectNameInsideItsPartOfTheTarget() {
+    Bodies_ = {objectBody()};
+    std::optional<std::variant<StoredObject, StoreError>> Result;
+    Store_.replace("leaderships", OddName, "{}", 2, Milliseconds{1000},
+                   [&](auto Written) { Result = std::move(Written); });
+    CPPUNIT_ASSERT_EQUAL(std::string(OddName), await(Result).Name);
+    CPPUNIT_ASSERT_EQUAL(std::string("/v1/objects/leaderships/") +
+                             OddNameEscaped,
+                         Targets_.at(0));
+  }
+
+  // Guards against one entry of another program that ends the list of
+  // databases.
+  void keepsThePageNameInsideItsParameter() {
+    Bodies_ = {R"({"AsOf":3,"More":true,"items":[)" + objectBody() + "]}",
+               R"({"AsOf":3,"items":[]})"};
+    std::optional<std::variant<ObjectList, StoreError>> Result;
+    Store_.list("servers", ReadMode::AllowStale, Milliseconds{1000},
+                [&](auto Listed) { Result = std::move(Listed); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), await(Result).Objects.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("/v1/objects/servers?after=") +
+                             OddNameEscaped + "&Serializable=1",
+                         Targets_.at(1));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ObjectStoreTest);
+
+} // namespace nutmegloom
