--- a/tests/platform/listingstest.cpp
+++ b/tests/platform/listingstest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(readsADatabase);
   CPPUNIT_TEST(rejectsInvalidDatabaseEntries);
   CPPUNIT_TEST(rejectsNumbersAndAddressesOutOfRange);
+  CPPUNIT_TEST(rejectsNamesThatAreNotOneWord);
   CPPUNIT_TEST(rejectsLongAndDeepEntries);
   CPPUNIT_TEST(readsAConfiguration);
   CPPUNIT_TEST(rejectsAConfigurationWithOneInvalidRoute);
@@ -77,6 +78,23 @@
                              isRejected(entryWith(Address + "," + Field)));
   }
 
+  // Guards against a name that is read as several fields, or as a message of
+  // its own, when a session is opened at the database.
+  void rejectsNamesThatAreNotOneWord() {
+    for (const char *Odd : {"", "a b", " a", "a\r\nQUERY - WRITE x y", "a\n"}) {
+      StoredObject Entry = object(entryWith(R"("Address":"10.0.0.9:80")"));
+      CPPUNIT_ASSERT(
+          std::holds_alternative<DatabaseListing>(readDatabase(Entry)));
+      Entry.Name = Odd;
+      CPPUNIT_ASSERT(std::holds_alternative<ObjectError>(readDatabase(Entry)));
+    }
+    for (const char *Odd : {R"("a b")", R"("a\r\nQUERY - WRITE x y")"})
+      CPPUNIT_ASSERT(isRejected(std::string(R"({"Service":)") + Odd +
+                                R"(,"Zone":"z","State":"ready",)"
+                                R"("DatabaseRole":"replica",)"
+                                R"("Address":"10.0.0.9:80"})"));
+  }
+
   // Guards against a stack that overflows, and against the cost of parsing a
   // long entry again with each change of the list.
   void rejectsLongAndDeepEntries() {
