--- a/packages/sessions/databasepool.h
+++ b/packages/sessions/databasepool.h
@@ -4,6 +4,7 @@
 #include "sessions/databasetable.h"
 
 #include <set>
+#include <tuple>
 
 namespace nutmegloom {
 
@@ -14,7 +15,10 @@
 struct PreparedShape {
   StatementKind Access = StatementKind::Read;
   std::string Shape;
-  auto operator<=>(const PreparedShape &) const = default;
+  bool operator==(const PreparedShape &) const = default;
+  bool operator<(const PreparedShape &Other) const {
+    return std::tie(Access, Shape) < std::tie(Other.Access, Other.Shape);
+  }
 };
 
 /// Session variables and prepared statements that are set on a database
