Test that the name of an entry runs nothing at a database

With the check of the name taken out, as a trial, this test fails with WRITE x stolen; it passes with it.

--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(followsTheListBesideOddEntries);
   CPPUNIT_TEST(becomesReadyBesideOddEntries);
   CPPUNIT_TEST(reportsAnOddEntryOnce);
+  CPPUNIT_TEST(runsNothingThatTheNameOfAnEntryContains);
   CPPUNIT_TEST_SUITE_END();
 
   /// Leaves 400 ms for ending transactions.
@@ -480,6 +481,47 @@
     Io_.stop();
   }
 
+  // Guards against a statement that another program has put into the name of an
+  // entry, with the address of a database.
+  void runsNothingThatTheNameOfAnEntryContains() {
+    Store_.put("config", "main",
+               {{"Version", 8},
+                {"Routes",
+                 {{{"Host", "d2"},
+                   {"Service", "g"},
+                   {"Kind", "bounded_staleness"},
+                   {"MaxStalenessMs", 1500},
+                   {"TimeoutMs", 1000},
+                   {"Priority", 1}}}},
+                {"Services", {{{"Name", "g"}, {"MaxConnections", 34}}}}});
+    Store_.put("servers", "a\r\nQUERY evil WRITE x stolen",
+               {{"Service", "g"},
+                {"Address", Databases_.addressOf("a")},
+                {"Zone", "z"},
+                {"Slots", 5},
+                {"State", "ready"},
+                {"DatabaseRole", "replica"}});
+    CPPUNIT_ASSERT(await(
+        [this] { return Log_.str().find("version=8") != std::string::npos; }));
+    // Many statements at once need more connections than one.
+    Databases_.crash("b");
+    Databases_.crash("c");
+    std::vector<std::unique_ptr<TestCaller>> Callers;
+    for (int Count = 0; Count < 12; ++Count)
+      Callers.push_back(connect("d2"));
+    for (int Round = 0; Round < 10; ++Round) {
+      for (auto &Caller : Callers) {
+        Caller->Lines.clear();
+        Caller->send("QUERY q READ x");
+      }
+      for (auto &Caller : Callers)
+        CPPUNIT_ASSERT(await([&] { return Caller->isReady(); }));
+    }
+    CPPUNIT_ASSERT(!Databases_.runs().empty());
+    for (const auto &Run : Databases_.runs())
+      CPPUNIT_ASSERT_EQUAL(std::string("READ x"), Run.Text);
+  }
+
   // Guards against a log that is filled by an entry that stays.
   void reportsAnOddEntryOnce() {
     Store_.putText("servers", oddName(0), "[]");
