--- a/tests/protocol/relaycodectest.cpp
+++ b/tests/protocol/relaycodectest.cpp
@@ -1,4 +1,6 @@
 #include "protocol/relaycodec.h"
+#include "protocol/packedmessage.h"
+#include "protocol/relay.capnp.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -8,6 +10,7 @@
 class RelayCodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayCodecTest);
   CPPUNIT_TEST(roundTripsWork);
+  CPPUNIT_TEST(sendsTheNameThatEarlierHostsUse);
   CPPUNIT_TEST(roundTripsResults);
   CPPUNIT_TEST(roundTripsSmallMessages);
   CPPUNIT_TEST(roundTripsConfiguration);
@@ -69,6 +72,22 @@
     CPPUNIT_ASSERT(Passed);
   }
 
+  // Guards against an EXECUTE that a host of an earlier version can't run: it
+  // prepares the text under this name.
+  void sendsTheNameThatEarlierHostsUse() {
+    for (auto [Access, Name] : {std::pair(StatementKind::Read, "r_q1 a"),
+                                std::pair(StatementKind::Write, "w_q1 a")}) {
+      RelayedStatement Message;
+      Message.Work.Prepared = {Access, "q1 a"};
+      auto Sent = readPackedMessage<wire::RelayMessage>(
+          encodeRelayMessage(Message), 1024,
+          [](wire::RelayMessage::Reader From) -> std::string {
+            return From.getWork().getPreparedName();
+          });
+      CPPUNIT_ASSERT_EQUAL(std::string(Name), Sent);
+    }
+  }
+
   void roundTripsResults() {
     RelayedResult Message;
     Message.Session = 4;
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(reportsAnUnknownPreparedStatement);
   CPPUNIT_TEST(namesAPreparedStatementByOneWord);
   CPPUNIT_TEST(keepsPreparedTextsApartThatBeginAlike);
+  CPPUNIT_TEST(keepsAReadAndAWriteOfOneTextApart);
   CPPUNIT_TEST(givesNoNameOfAPreparedStatementTwice);
   CPPUNIT_TEST(reportsALostWriteAsInDoubt);
   CPPUNIT_TEST(retriesALostRead);
@@ -180,10 +181,10 @@
   }
 
   /// Prepares the text in the session and executes it. Returns what ran.
-  static Simulation::Execution executePrepared(Simulation &Sim,
-                                               CallerSessionId Id,
-                                               const std::string &Text) {
-    Sim.ask(0, Id, Verb::Prepare, Text);
+  static Simulation::Execution
+  executePrepared(Simulation &Sim, CallerSessionId Id, const std::string &Text,
+                  StatementKind Access = StatementKind::Read) {
+    Sim.prepare(0, Id, {Access, Text});
     CPPUNIT_ASSERT(Sim.ask(0, Id, Verb::Execute).Code == Code::Done);
     return Sim.executions().back();
   }
@@ -216,6 +217,22 @@
     }
   }
 
+  // Guards against a write that runs as a read, which is acknowledged and not
+  // kept.
+  void keepsAReadAndAWriteOfOneTextApart() {
+    auto Sim = startSimulation();
+    CallerSessionId Id = Sim->open(0, "primary");
+    for (int Round = 0; Round < 3; ++Round) {
+      auto Read = executePrepared(*Sim, Id, "q1", StatementKind::Read);
+      auto Write = executePrepared(*Sim, Id, "q1", StatementKind::Write);
+      CPPUNIT_ASSERT(Read.Prepared->Access == StatementKind::Read);
+      CPPUNIT_ASSERT(Write.Prepared->Access == StatementKind::Write);
+      CPPUNIT_ASSERT(Read.Name != Write.Name);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Sim->acknowledgedWrites());
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
   // Guards against an EXECUTE of an earlier statement after a refused RESET.
   void givesNoNameOfAPreparedStatementTwice() {
     auto Sim = startSimulation();
@@ -224,7 +241,7 @@
       // Variables of the session before make the connection be reset.
       CallerSessionId Id = Sim->open(0, "primary");
       Sim->ask(0, Id, Verb::SetVariable, "v" + std::to_string(Round));
-      Names.insert(executePrepared(*Sim, Id, "q" + std::to_string(Round)).Name);
+      Names.insert(executePrepared(*Sim, Id, "q").Name);
       Sim->engine(0).sessions().close(Id, Sim->now());
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), Names.size());
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -56,10 +56,14 @@
   // Callers.
   /// Opens a session at a host for the route "primary", "bounded" or "own".
   CallerSessionId open(std::size_t Host, const std::string &Route);
-  /// Sends a statement without waiting for its answer. Prepare: Text is what
-  /// the session's one prepared statement, a read, consists of.
+  /// Prepares the session's one prepared statement, which Execute runs.
+  StatementAnswer prepare(std::size_t Host, CallerSessionId Session,
+                          const PreparedShape &Prepared);
+  /// Sends a statement without waiting for its answer. Prepare: the text is
+  /// prepared as a read.
   void send(std::size_t Host, CallerSessionId Session, StatementVerb Verb,
-            const std::string &Text = "x");
+            const std::string &Text = "x",
+            StatementKind Access = StatementKind::Read);
   /// Answer to the latest statement of the session; nothing before it arrives.
   std::optional<StatementAnswer> answerOf(CallerSessionId Session) const;
   /// True when the host has closed the session.
--- a/tests/sessions/simulationcallers.cpp
+++ b/tests/sessions/simulationcallers.cpp
@@ -13,7 +13,8 @@
 }
 
 void Simulation::send(std::size_t Index, CallerSessionId Session,
-                      StatementVerb Verb, const std::string &Text) {
+                      StatementVerb Verb, const std::string &Text,
+                      StatementKind Access) {
   CallerStatement Statement;
   Statement.Id = std::to_string(++LastStatement_);
   Statement.Verb = Verb;
@@ -32,6 +33,7 @@
     Statement.Argument = Text;
     break;
   case StatementVerb::Prepare:
+    Statement.Access = Access;
     Statement.Name = "s";
     Statement.Argument = Text;
     break;
@@ -100,6 +102,13 @@
   return Found->second;
 }
 
+StatementAnswer Simulation::prepare(std::size_t Index, CallerSessionId Session,
+                                    const PreparedShape &Prepared) {
+  send(Index, Session, StatementVerb::Prepare, Prepared.Shape, Prepared.Access);
+  run(Milliseconds{5});
+  return answerOf(Session).value();
+}
+
 StatementAnswer Simulation::ask(std::size_t Index, CallerSessionId Session,
                                 StatementVerb Verb, const std::string &Text) {
   send(Index, Session, Verb, Text);
