Prepare a statement again that a database has forgotten

The connection went back to the pool with a profile that still named the statement, so it never healed.

A database that doesn't know the name has not run the statement. The connection is closed; outside a transaction the statement is sent again, inside one the transaction is rolled back and the caller told ABORTED, which is true.

Tests: SessionServiceTest::preparesAgainWhatTheDatabaseHasForgotten and abortsATransactionWhoseDatabaseHasForgottenAName failed before.

--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -477,6 +477,10 @@
     retryOrFinish(Task, std::move(Answer), Now);
     return;
   }
+  if (Answer.Code == StatementCode::UnknownName && Work.Prepared) {
+    onPreparationForgotten(Task, Now);
+    return;
+  }
   if (mayRepeat(Task, Answer, Now)) {
     Task.CurrentStage = Stage::Repeating;
     return;
@@ -501,6 +505,18 @@
   finish(Work.Session, std::move(Result), Now);
 }
 
+/// The statement has not run. What else the database holds for the connection
+/// is unknown, so the connection is closed, which rolls back a transaction.
+void StatementRunner::onPreparationForgotten(Progress &Task, TimePoint Now) {
+  static constexpr const char *Detail =
+      "the database has no such prepared statement any more";
+  dropConnection(std::exchange(Task.Connection, 0));
+  if (isInTransaction(Task.Work))
+    fail(Task, StatementCode::Aborted, Detail, Now);
+  else
+    retryOrFinish(Task, errorAnswer(StatementCode::Busy, Detail), Now);
+}
+
 /// A busy database has not run the statement, and the transaction is still
 /// open.
 bool StatementRunner::mayRepeat(const Progress &Task,
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -159,6 +159,8 @@
 
   void onBegun(Progress &Task, const StatementAnswer &Answer, TimePoint Now);
   void onForwarded(Progress &Task, StatementAnswer Answer, TimePoint Now);
+  /// Handles a database that does not know the name of a prepared statement.
+  void onPreparationForgotten(Progress &Task, TimePoint Now);
   bool isConnectionCapReached(const DatabaseId &Database, OpenFailure Failure,
                               std::optional<StatementCode> Code,
                               TimePoint Now) const;
--- a/tests/sessions/sessionservicetest.cpp
+++ b/tests/sessions/sessionservicetest.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(keepsPreparedTextsApartThatBeginAlike);
   CPPUNIT_TEST(keepsAReadAndAWriteOfOneTextApart);
   CPPUNIT_TEST(givesNoNameOfAPreparedStatementTwice);
+  CPPUNIT_TEST(preparesAgainWhatTheDatabaseHasForgotten);
+  CPPUNIT_TEST(abortsATransactionWhoseDatabaseHasForgottenAName);
   CPPUNIT_TEST(reportsALostWriteAsInDoubt);
   CPPUNIT_TEST(retriesALostRead);
   CPPUNIT_TEST(abortsATransactionWhoseDatabaseCrashes);
@@ -248,6 +250,34 @@
     CPPUNIT_ASSERT(Sim->violations().empty());
   }
 
+  // Guards against a name that stays unknown although its preparing was
+  // acknowledged.
+  void preparesAgainWhatTheDatabaseHasForgotten() {
+    auto Sim = startSimulation();
+    CallerSessionId Id = Sim->open(0, "primary");
+    for (StatementKind Access : {StatementKind::Read, StatementKind::Write}) {
+      executePrepared(*Sim, Id, "q1", Access);
+      Sim->forgetPreparedStatements("a");
+      CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Execute).Code == Code::Done);
+    }
+    CPPUNIT_ASSERT(Sim->violations().empty());
+  }
+
+  void abortsATransactionWhoseDatabaseHasForgottenAName() {
+    auto Sim = startSimulation();
+    CallerSessionId Id = Sim->open(0, "primary");
+    executePrepared(*Sim, Id, "q1", StatementKind::Write);
+    Sim->ask(0, Id, Verb::Begin);
+    Sim->ask(0, Id, Verb::Write);
+    Sim->forgetPreparedStatements("a");
+    StatementAnswer Lost = Sim->ask(0, Id, Verb::Execute);
+    CPPUNIT_ASSERT(Lost.Code == Code::Aborted);
+    CPPUNIT_ASSERT(Lost.State == TransactionStatus::Failed);
+    Sim->ask(0, Id, Verb::Rollback);
+    CPPUNIT_ASSERT(Sim->ask(0, Id, Verb::Execute).Code == Code::Done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Sim->acknowledgedWrites());
+  }
+
   void reportsALostWriteAsInDoubt() {
     auto Sim = startSimulation();
     CallerSessionId Id = Sim->open(0, "primary");
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -49,6 +49,8 @@
   /// The database answers the next Count statements of callers with Busy. An
   /// open transaction stays open.
   void refuseNextStatements(const DatabaseId &Id, std::size_t Count);
+  /// The database forgets the prepared statements of all connections.
+  void forgetPreparedStatements(const DatabaseId &Id);
   /// The database resets new connections, as one at its connection limit does.
   void setResetsConnections(const DatabaseId &Id, bool ResetsConnections);
   void setReplicationLag(const DatabaseId &Id, Milliseconds Lag);
--- a/tests/sessions/simulationcallers.cpp
+++ b/tests/sessions/simulationcallers.cpp
@@ -102,6 +102,13 @@
   return Found->second;
 }
 
+void Simulation::forgetPreparedStatements(const DatabaseId &Id) {
+  for (auto &Host : Hosts_)
+    for (auto &[Number, Connection] : Host->Connections)
+      if (Connection->Database == Id)
+        Connection->Prepared.clear();
+}
+
 StatementAnswer Simulation::prepare(std::size_t Index, CallerSessionId Session,
                                     const PreparedShape &Prepared) {
   send(Index, Session, StatementVerb::Prepare, Prepared.Shape, Prepared.Access);
