--- a/tests/platform/objectstoretest.cpp
+++ b/tests/platform/objectstoretest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(ObjectStoreTest);
   CPPUNIT_TEST(keepsAnObjectNameInsideItsPartOfTheTarget);
   CPPUNIT_TEST(keepsThePageNameInsideItsParameter);
+  CPPUNIT_TEST(reportsAPageThatLeadsNowhere);
   CPPUNIT_TEST_SUITE_END();
 
   /// Another program may have given an object such a name.
@@ -39,11 +40,16 @@
   }
 
   template <typename T>
-  T await(std::optional<std::variant<T, StoreError>> &Result) {
+  void awaitResult(const std::optional<std::variant<T, StoreError>> &Result) {
     auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
     while (!Result && std::chrono::steady_clock::now() < End)
       Io_.run_one_for(std::chrono::milliseconds(20));
     CPPUNIT_ASSERT(Result);
+  }
+
+  template <typename T>
+  T await(const std::optional<std::variant<T, StoreError>> &Result) {
+    awaitResult(Result);
     return std::get<T>(*Result);
   }
 
@@ -71,6 +77,24 @@
                              OddNameEscaped + "&Serializable=1",
                          Targets_.at(1));
   }
+
+  // Guards against a part of a list that is taken for the whole: the databases
+  // that it lacks would count as gone.
+  void reportsAPageThatLeadsNowhere() {
+    std::string Unreadable = R"({"AsOf":3,"More":true,"items":[{"meta":5}]})";
+    std::string Page =
+        R"({"AsOf":3,"More":true,"items":[)" + objectBody() + "]}";
+    Bodies_ = {Unreadable, Page, Page};
+    for (int Case = 0; Case < 2; ++Case) {
+      std::optional<std::variant<ObjectList, StoreError>> Result;
+      Store_.list("servers", ReadMode::Latest, Milliseconds{1000},
+                  [&](auto Listed) { Result = std::move(Listed); });
+      awaitResult(Result);
+      CPPUNIT_ASSERT(std::get<StoreError>(*Result).Kind ==
+                     StoreErrorKind::Unreadable);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Targets_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObjectStoreTest);
