--- a/packages/protocol/platformclient.cpp
+++ b/packages/protocol/platformclient.cpp
@@ -133,7 +133,8 @@
              std::uint64_t After, Milliseconds Wait,
              ObjectHandler Handler) override {
     send({"GET",
-          "/v1/watch/" + Kind + "/" + Name + "?after=" + std::to_string(After) +
+          "/v1/watch/" + Kind + "/" + percentEncode(Name) +
+              "?after=" + std::to_string(After) +
               "&wait_ms=" + std::to_string(Wait.count()),
           {},
           ""},
