Bound the texts in log lines

Every text of a line is cut after 500 bytes, in one place for all events.

Test: EventsTest::boundsTheLengthOfAValue failed before.

--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -85,6 +85,9 @@
      "a statement was prepared on a database connection"},
 }};
 
+/// Limit for a text in a line. Ids and names are chosen by callers.
+constexpr std::size_t MaximumValueBytes = 500;
+
 constexpr std::array<std::string_view, 5> LevelNames{"trace", "debug", "info",
                                                      "warning", "error"};
 
@@ -137,10 +140,11 @@
 }
 
 std::string formatValue(const LogValue &Value, LogFormat Format) {
-  if (const auto *Text = std::get_if<std::string_view>(&Value)) {
-    if (Format == LogFormat::Json || needsQuotes(*Text))
-      return quoted(*Text);
-    return std::string(*Text);
+  if (const auto *Whole = std::get_if<std::string_view>(&Value)) {
+    std::string_view Text = Whole->substr(0, MaximumValueBytes);
+    if (Format == LogFormat::Json || needsQuotes(Text))
+      return quoted(Text);
+    return std::string(Text);
   }
   if (const auto *Number = std::get_if<std::int64_t>(&Value))
     return std::to_string(*Number);
--- a/packages/telemetry/events.h
+++ b/packages/telemetry/events.h
@@ -71,8 +71,8 @@
 using LogField = std::pair<std::string_view, LogValue>;
 
 /// Logs an event with its fields as one line, unless its level is below the
-/// lowest one that is logged. Lines go to standard error unless setLogStream()
-/// has set another stream.
+/// lowest one that is logged. A text is cut after 500 bytes. Lines go to
+/// standard error unless setLogStream() has set another stream.
 void logEvent(LogEvent Event, std::initializer_list<LogField> Fields);
 
 /// Sets the lowest level that is logged. Returns false if the name is unknown.
--- a/packages/telemetry/sessionlog.cpp
+++ b/packages/telemetry/sessionlog.cpp
@@ -5,8 +5,6 @@
 namespace nutmegloom {
 
 static constexpr Milliseconds SuppressedReportInterval{1000};
-/// Limit for a text of a caller inside a line.
-static constexpr std::size_t MaximumLoggedBytes = 200;
 
 void SessionLog::onStatement(const StatementReport &Report, TimePoint Now) {
   Metrics_.observeStatement(nameOf(Report.Verb), nameOf(Report.Mode),
@@ -61,9 +59,9 @@
       {{"request", Preparation.StatementId},
        {"database", Preparation.Database},
        {"connection", static_cast<std::int64_t>(Preparation.Connection)},
-       {"prepared", Preparation.Name.substr(0, MaximumLoggedBytes)},
+       {"prepared", Preparation.Name},
        {"access", nameOf(Preparation.Access)},
-       {"shape", Preparation.Shape.substr(0, MaximumLoggedBytes)},
+       {"shape", Preparation.Shape},
        {"shape_bytes", static_cast<std::int64_t>(Preparation.Shape.size())}});
 }
 
--- a/tests/telemetry/eventstest.cpp
+++ b/tests/telemetry/eventstest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(catalogueMatchesEventTable);
   CPPUNIT_TEST(writesKeyValueLines);
   CPPUNIT_TEST(writesJsonLines);
+  CPPUNIT_TEST(boundsTheLengthOfAValue);
   CPPUNIT_TEST(suppressesLowerLevels);
   CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +58,13 @@
     CPPUNIT_ASSERT_EQUAL(Known.size(), std::size_t(Advice));
   }
 
+  /// Guards against a caller that fills the log with a long id or name.
+  void boundsTheLengthOfAValue() {
+    std::string Long(500000, 'x');
+    logEvent(LogEvent::StatementFailed, {{"request", Long}, {"detail", Long}});
+    CPPUNIT_ASSERT(Stream_.str().size() < 2000);
+  }
+
   /// Guards against values that break a line or look like another field.
   void writesKeyValueLines() {
     logEvent(LogEvent::PrimaryChanged,
