--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -506,9 +506,9 @@
     // Many statements at once need more connections than one.
     Databases_.crash("b");
     Databases_.crash("c");
-    std::vector<std::unique_ptr<TestCaller>> Callers;
-    for (int Count = 0; Count < 12; ++Count)
-      Callers.push_back(connect("d2"));
+    std::vector<std::unique_ptr<TestCaller>> Callers(12);
+    for (auto &Caller : Callers)
+      Caller = connect("d2");
     for (int Round = 0; Round < 10; ++Round) {
       for (auto &Caller : Callers) {
         Caller->Lines.clear();
