--- a/testing/standinsessions/sessiondatabases.cpp
+++ b/testing/standinsessions/sessiondatabases.cpp
@@ -1,7 +1,6 @@
 #include "testing/standinsessions/sessiondatabases.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 namespace nutmegloom::testing {
@@ -12,6 +11,15 @@
 /// could take the port of a database while it is down.
 static constexpr const char *ListenIp = "127.0.2.1";
 
+/// Returns the text before the next blank and removes both from Rest. Two
+/// blanks enclose an empty field, as in the protocol.
+static std::string takeWord(std::string &Rest) {
+  std::size_t End = std::min(Rest.find(' '), Rest.size());
+  std::string Word = Rest.substr(0, End);
+  Rest.erase(0, End + 1);
+  return Word;
+}
+
 SessionDatabases::SessionDatabases(boost::asio::io_context &Io,
                                    std::string Group,
                                    const std::vector<std::string> &Ids)
@@ -77,15 +85,12 @@
                               std::string_view Line) {
   if (Members_.at(Id)->Silent)
     return;
-  std::istringstream Words{std::string(Line)};
-  std::string Word;
-  Words >> Word;
-  if (Word == "START") {
-    std::string Group;
-    std::string CallerName;
-    std::string Expected;
-    Words >> Group >> CallerName >> Expected;
-    if (Group != Group_ || Expected != Id) {
+  std::string Rest(Line);
+  if (takeWord(Rest) == "START") {
+    std::string Group = takeWord(Rest);
+    // The caller's name, which may be any word.
+    takeWord(Rest);
+    if (Group != Group_ || Rest != Id) {
       Client.Stream->write("ERROR WRONGNODE " + Id + "\r\n");
       Client.Stream->close();
       return;
@@ -94,28 +99,20 @@
                          std::to_string(Index_) + "\r\n");
     return;
   }
-  std::string Statement;
-  Words >> Statement >> std::ws;
-  std::string Text;
-  std::getline(Words, Text);
-  std::string Result = runStatement(Id, Client, Statement, Text);
+  std::string Statement = takeWord(Rest);
+  std::string Result = runStatement(Id, Client, Statement, Rest);
   Client.Stream->write(Result + "READY " + Client.State + " " +
                        std::to_string(Term_) + "." + std::to_string(Index_) +
                        "\r\n");
 }
 
 bool SessionDatabases::prepare(Session &Client, const std::string &Text) {
-  std::istringstream Words(Text);
-  std::string Verb;
-  std::string Name;
-  std::string Access;
-  Words >> Verb >> Name >> Access;
-  if (Access != "READ" && Access != "WRITE")
-    return false;
-  std::string Shape;
-  Words.ignore();
-  std::getline(Words, Shape);
-  if (Shape.empty())
+  std::string Shape = Text;
+  takeWord(Shape);
+  std::string Name = takeWord(Shape);
+  std::string Access = takeWord(Shape);
+  bool IsAccess = Access == "READ" || Access == "WRITE";
+  if (Name.empty() || !IsAccess || Shape.empty())
     return false;
   Client.Prepared[Name] = {Access == "WRITE", Shape};
   return true;
@@ -123,11 +120,9 @@
 
 std::optional<SessionDatabases::PreparedStatement>
 SessionDatabases::preparedFor(const Session &Client, const std::string &Text) {
-  std::istringstream Words(Text);
-  std::string Verb;
-  std::string Name;
-  Words >> Verb >> Name;
-  auto Found = Client.Prepared.find(Name);
+  std::string Rest = Text;
+  takeWord(Rest);
+  auto Found = Client.Prepared.find(takeWord(Rest));
   if (Found == Client.Prepared.end())
     return std::nullopt;
   return Found->second;
