Keep the text of a test as long as its views

JsonSplitTest::keepsValuesThatCannotBeParsed compared a view of a text that had been destroyed: heap-use-after-free in the test, reported by the address sanitizer on protocol-tests; without it the test passed. The check is the same.

--- a/tests/protocol/jsonsplittest.cpp
+++ b/tests/protocol/jsonsplittest.cpp
@@ -50,8 +50,9 @@
   // Guards against one unreadable value that hides its neighbours.
   void keepsValuesThatCannotBeParsed() {
     std::string Deep = std::string(200000, '[') + std::string(200000, ']');
-    auto Elements =
-        splitJsonArray("[1e999,\"\xff\xfe\",nonsense," + Deep + ",7]");
+    // The elements are views of the text.
+    std::string Text = "[1e999,\"\xff\xfe\",nonsense," + Deep + ",7]";
+    auto Elements = splitJsonArray(Text);
     CPPUNIT_ASSERT(Elements);
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), Elements->size());
     CPPUNIT_ASSERT_EQUAL(std::string_view("7"), Elements->back());
