Check the lease again when a promotion is about to be sent

Cause: lease, token and claim were checked before the connection to the promotion API was opened. Ruled out: conditional writes to the store, which the store itself checks.

Change: exchangeOnce() asks a SendCheck when the connection is open and sends nothing once the time of the request has passed; commands to databases on connections of their own are withdrawn after a suspension in the same way.

With the checks removed sendsNothingOnceARequestIsWithdrawn, sendsNothingOnceItsTimeHasPassed and sendsNoCommandAfterASuspension fail.

--- a/packages/protocol/databaseconnection.cpp
+++ b/packages/protocol/databaseconnection.cpp
@@ -18,6 +18,7 @@
   switch (Kind) {
   case HttpFailureKind::BadAddress:
   case HttpFailureKind::NotConnected:
+  case HttpFailureKind::Withdrawn:
     return DatabaseFailureKind::NotConnected;
   case HttpFailureKind::Broken:
   case HttpFailureKind::TimedOut:
--- a/packages/protocol/httpconnection.cpp
+++ b/packages/protocol/httpconnection.cpp
@@ -266,18 +266,26 @@
 void exchangeOnce(asio::io_context &Io, const std::string &Address,
                   HttpRequest Request, std::chrono::milliseconds Timeout,
                   std::size_t MaximumBody,
-                  HttpConnection::ExchangeHandler Handler) {
+                  HttpConnection::ExchangeHandler Handler, SendCheck MaySend) {
   const auto Deadline = std::chrono::steady_clock::now() + Timeout;
   auto Connection = HttpConnection::create(Io, Address, MaximumBody);
   Connection->connect(
       Timeout, [Connection, Deadline, Request = std::move(Request),
-                Handler = std::move(Handler)](const HttpFailure *Failure) {
+                Handler = std::move(Handler),
+                MaySend = std::move(MaySend)](const HttpFailure *Failure) {
         if (Failure) {
           Handler(*Failure);
           return;
         }
         const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
             Deadline - std::chrono::steady_clock::now());
+        // The process may have been suspended since the connect began.
+        if (Left.count() <= 0 || (MaySend && !MaySend())) {
+          Connection->close();
+          Handler(HttpFailure{HttpFailureKind::Withdrawn,
+                              "the request may no longer be sent"});
+          return;
+        }
         Connection->exchange(
             Request, Left,
             [Connection,
--- a/packages/protocol/httpconnection.h
+++ b/packages/protocol/httpconnection.h
@@ -37,6 +37,8 @@
   BadAddress,
   /// There is no usable connection; nothing was sent.
   NotConnected,
+  /// The request was withdrawn before it was sent.
+  Withdrawn,
   /// The connection was lost; the server may have received the request.
   Broken,
   /// No complete response arrived before the timeout.
@@ -91,13 +93,19 @@
   virtual bool isOpen() const = 0;
 };
 
+/// Returns whether a request may still be sent.
+using SendCheck = std::function<bool()>;
+
 /// Connects, sends one request, reads its response and closes the connection.
 /// Timeout covers both the connect and the exchange. The handler is called
-/// exactly once.
+/// exactly once. MaySend, if set, is called when the connection is open,
+/// immediately before the request is written; if it returns false, the exchange
+/// fails as Withdrawn.
 void exchangeOnce(boost::asio::io_context &Io, const std::string &Address,
                   HttpRequest Request, std::chrono::milliseconds Timeout,
                   std::size_t MaximumBody,
-                  HttpConnection::ExchangeHandler Handler);
+                  HttpConnection::ExchangeHandler Handler,
+                  SendCheck MaySend = nullptr);
 
 } // namespace nutmegloom
 
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -722,6 +722,16 @@
   Hooks_.Promote(Group, Promotion.NextLeader, Lease_.lease().Token);
 }
 
+bool PromotionSystem::mayRequest(const GroupId &Group, std::uint64_t Token,
+                                 TimePoint Now) const {
+  auto Found = Promotions_.find(Group);
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  return Found != Promotions_.end() && Record &&
+         Found->second.Stage == PromotionStage::Promoting &&
+         Record->Revision == Found->second.ClaimRevision &&
+         Lease_.lease().Token == Token && Lease_.isHeld(Milliseconds{0}, Now);
+}
+
 void PromotionSystem::onPromoted(const GroupId &Group, PromotionOutcome Outcome,
                                  TimePoint Now) {
   GroupPromotion &Promotion = Promotions_[Group];
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -64,7 +64,9 @@
     /// (zero: it does not exist). The result is passed to onWritten.
     std::function<void(const LeadershipRecord &, std::uint64_t Expected)> Write;
     LeaseManager::Write WriteLease;
-    /// Asks the platform for a promotion. The result is passed to onPromoted.
+    /// Asks the platform for a promotion. mayRequest() must be asked again
+    /// immediately before the request is sent, for example once a connection is
+    /// open. The result is passed to onPromoted.
     std::function<void(const GroupId &, const DatabaseId &,
                        std::uint64_t Token)>
         Promote;
@@ -107,6 +109,10 @@
                  const LeadershipRecord &Current, TimePoint Now);
   void onPromoted(const GroupId &Group, PromotionOutcome Outcome,
                   TimePoint Now);
+  /// True while a promotion of the group with this token may be requested: the
+  /// lease is held, and the group's record is still this host's claim.
+  bool mayRequest(const GroupId &Group, std::uint64_t Token,
+                  TimePoint Now) const;
   void onReport(const DatabaseId &Database,
                 const std::optional<DatabaseReport> &Report, TimePoint BegunAt,
                 TimePoint Now);
--- a/testing/scenario/scenariorunner.cpp
+++ b/testing/scenario/scenariorunner.cpp
@@ -178,6 +178,8 @@
     return "bad_address";
   case HttpFailureKind::NotConnected:
     return "not_connected";
+  case HttpFailureKind::Withdrawn:
+    return "withdrawn";
   case HttpFailureKind::Broken:
     return "broken";
   case HttpFailureKind::TimedOut:
--- a/tests/platform/databaselinkstest.cpp
+++ b/tests/platform/databaselinkstest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(DatabaseLinksTest);
   CPPUNIT_TEST(reportsAResetBeforeTheFirstAnswer);
   CPPUNIT_TEST(reportsARefusedConnection);
+  CPPUNIT_TEST(sendsNoCommandAfterASuspension);
   CPPUNIT_TEST_SUITE_END();
 
   struct Failure {
@@ -21,9 +22,10 @@
   };
 
   asio::io_context Io_;
+  TimePoint Now_;
   std::optional<Failure> Failed_;
   DatabaseLinks Links_{Io_,
-                       {[] { return TimePoint{}; },
+                       {[this] { return Now_; },
                         [](ConnectionId, std::optional<Position>, TimePoint) {},
                         [this](ConnectionId, OpenFailure Reason,
                                std::optional<StatementCode> Code) {
@@ -68,6 +70,43 @@
     open(Port);
     CPPUNIT_ASSERT(Failed_->Reason == OpenFailure::Refused);
   }
+
+  // Guards against a host that is suspended while it connects to a database and
+  // then sends a command, such as PAUSE, that rests on an outdated decision.
+  void sendsNoCommandAfterASuspension() {
+    tcp::acceptor Acceptor(Io_,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::string Received;
+    std::shared_ptr<MessageStream> Database;
+    Acceptor.async_accept([&](auto Error, tcp::socket Socket) {
+      CPPUNIT_ASSERT(!Error);
+      Database = MessageStream::create(std::move(Socket));
+      Database->start({[&](std::string_view Line) {
+                         Received += Line;
+                         Now_ += Milliseconds{4000};
+                         Database->write("READY I 3.1\r\n");
+                       },
+                       [] {}});
+    });
+    DatabaseListing Listing;
+    Listing.Id = "a";
+    Listing.Group = "g";
+    Listing.Address =
+        "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    DatabaseCommand Pause;
+    Pause.Verb = CommandVerb::Pause;
+    Pause.Term = 4;
+    bool Finished = false;
+    Links_.executeOnce(Listing, Pause, [&](const DatabaseLinks::Reply &Reply) {
+      Finished = true;
+      CPPUNIT_ASSERT(!Reply.Report);
+    });
+    while (!Finished)
+      Io_.run_one();
+    Io_.poll();
+    CPPUNIT_ASSERT(Received.find("PAUSE") == std::string::npos);
+    Database->close();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DatabaseLinksTest);
--- a/tests/protocol/httpconnectiontest.cpp
+++ b/tests/protocol/httpconnectiontest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -20,6 +21,8 @@
   CPPUNIT_TEST(acceptsSlowResponse);
   CPPUNIT_TEST(timesOutStalledResponse);
   CPPUNIT_TEST(timesOutWithoutAllowedPause);
+  CPPUNIT_TEST(sendsNothingOnceARequestIsWithdrawn);
+  CPPUNIT_TEST(sendsNothingOnceItsTimeHasPassed);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr milliseconds Timeout{300};
@@ -95,6 +98,42 @@
     CPPUNIT_ASSERT(std::get<HttpFailure>(*Result_).Kind ==
                    HttpFailureKind::TimedOut);
   }
+
+  /// Returns what the peer receives of a request before the connection ends.
+  std::string bytesOf(SendCheck MaySend, milliseconds TimeToSend) {
+    std::string Received;
+    Acceptor_.async_accept(Peer_, [&](auto Error) {
+      CPPUNIT_ASSERT(!Error);
+      asio::async_read(Peer_, asio::dynamic_buffer(Received),
+                       [](auto, std::size_t) {});
+    });
+    exchangeOnce(
+        Io_, "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port()),
+        {}, TimeToSend, 1024,
+        [this](auto Result) { Result_ = std::move(Result); },
+        std::move(MaySend));
+    Io_.run_for(std::chrono::seconds(2));
+    return Received;
+  }
+
+  HttpFailureKind failureKind() const {
+    return std::get<HttpFailure>(Result_.value()).Kind;
+  }
+
+  // Guards against a process that was suspended while it connected and then
+  // sends a request to which it has no right any more.
+  void sendsNothingOnceARequestIsWithdrawn() {
+    std::string Received = bytesOf([] { return false; }, Timeout);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Received);
+    CPPUNIT_ASSERT(failureKind() == HttpFailureKind::Withdrawn);
+  }
+
+  void sendsNothingOnceItsTimeHasPassed() {
+    std::string Received = bytesOf(nullptr, milliseconds{0});
+    CPPUNIT_ASSERT_EQUAL(std::string(), Received);
+    CPPUNIT_ASSERT(failureKind() == HttpFailureKind::Withdrawn ||
+                   failureKind() == HttpFailureKind::NotConnected);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -31,6 +31,8 @@
   CPPUNIT_TEST(continuesAfterLostWriteAnswers);
   CPPUNIT_TEST(renewsItsLeaseWithTheSameToken);
   CPPUNIT_TEST(respectsTheLeaseOfAnotherHost);
+  CPPUNIT_TEST(requestsNothingWithAnExpiredLease);
+  CPPUNIT_TEST(requestsNothingUnderAReplacedClaim);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
@@ -40,6 +42,8 @@
   std::vector<LeadershipRecord> Written_;
   std::vector<PromotionLease> WrittenLeases_;
   std::vector<std::pair<DatabaseId, std::uint64_t>> Promoted_;
+  /// Called when a promotion is requested; optional.
+  std::function<void(std::uint64_t Token)> OnPromote_;
   std::map<DatabaseId, DatabaseReport> Reports_;
   std::uint64_t Revision_ = 100;
   PromotionSystem System_{Table_, Hosts_, Authority_, hooks()};
@@ -61,6 +65,8 @@
     Hooks.Promote = [this](const GroupId &, const DatabaseId &Id,
                            std::uint64_t Token) {
       Promoted_.emplace_back(Id, Token);
+      if (OnPromote_)
+        OnPromote_(Token);
     };
     Hooks.Ask = [](const DatabaseListing &, const DatabaseCommand &) {};
     Hooks.Report = [](const PromotionReport &) {};
@@ -502,6 +508,45 @@
     CPPUNIT_ASSERT(!Promoted_.empty());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Promoted_.front().second);
   }
+
+  void promoteAfterLossOfLeader() {
+    listDatabases({"b"});
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 10);
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+  }
+
+  // Guards against a host that is suspended while it connects to the platform,
+  // loses the lease meanwhile and sends its promotion with an old token.
+  void requestsNothingWithAnExpiredLease() {
+    bool AtOnce = false;
+    bool AfterSuspension = true;
+    bool WithOtherToken = true;
+    OnPromote_ = [&](std::uint64_t Token) {
+      AtOnce = System_.mayRequest("g", Token, Now_);
+      AfterSuspension =
+          System_.mayRequest("g", Token, Now_ + Milliseconds{4000});
+      WithOtherToken = System_.mayRequest("g", Token + 1, Now_);
+    };
+    promoteAfterLossOfLeader();
+    CPPUNIT_ASSERT(AtOnce);
+    CPPUNIT_ASSERT(!AfterSuspension);
+    CPPUNIT_ASSERT(!WithOtherToken);
+  }
+
+  void requestsNothingUnderAReplacedClaim() {
+    bool Allowed = true;
+    OnPromote_ = [&](std::uint64_t Token) {
+      LeadershipRecord Other = *Authority_.recordOf("g");
+      Other.Holder = "other";
+      Other.Revision = ++Revision_;
+      Authority_.confirm(Other, Now_);
+      Allowed = System_.mayRequest("g", Token, Now_);
+    };
+    promoteAfterLossOfLeader();
+    CPPUNIT_ASSERT(!Allowed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromotionSystemTest);
