Deliver queued output before a connection is closed

The process also exited without regard to queued output. Ruled out: the HTTP server, which waits for its responses.

The process exits once the last answers are sent, 100 ms before it is killed at the latest.

--- a/packages/protocol/messagestream.cpp
+++ b/packages/protocol/messagestream.cpp
@@ -1,7 +1,6 @@
 #include "protocol/messagestream.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <netinet/tcp.h>
 
@@ -22,6 +21,9 @@
 constexpr std::size_t MaximumLineOutputBytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t MaximumMessageOutputBytes = std::size_t{24} * 1024 * 1024;
 constexpr std::size_t LengthBytes = 4;
+/// How long a peer may take to close after the end of the output. To close a
+/// connection with unread input resets it, and the peer may lose the output.
+constexpr std::chrono::milliseconds PeerCloseTimeout{1000};
 
 /// Result of parsing the first message of the input.
 struct Frame {
@@ -108,7 +110,8 @@
     return;
   }
   auto Self = shared_from_this();
-  deliverMessages({Buffer.data(), Count});
+  if (!Closing_)
+    deliverMessages({Buffer.data(), Count});
   if (Open_)
     waitUntilReadable();
 }
@@ -127,7 +130,7 @@
     Joined.assign(Received);
     Input = Joined;
   }
-  while (Open_) {
+  while (Open_ && !Closing_) {
     Frame Next = Framing_ == Framing::Lines ? parseLine(Input)
                                             : parseLengthPrefixed(Input);
     if (Next.State == Frame::Result::Malformed) {
@@ -139,7 +142,7 @@
     Input.remove_prefix(Next.Size);
     Functions_.Message(Next.Message);
   }
-  if (!Open_)
+  if (!Open_ || Closing_)
     return;
   std::size_t Limit = Framing_ == Framing::Lines
                           ? MaximumLineBytes
@@ -162,7 +165,7 @@
 }
 
 void MessageStream::write(std::string_view Text) {
-  if (!Open_ || Overflowed_)
+  if (!Open_ || Closing_ || Overflowed_)
     return;
   Output_ += Text;
   std::size_t Limit = Framing_ == Framing::Lines ? MaximumLineOutputBytes
@@ -190,6 +193,8 @@
   Output_.erase(0, Count);
   if (!Output_.empty())
     waitUntilWritable();
+  else if (Closing_)
+    endOutput();
 }
 
 void MessageStream::waitUntilWritable() {
@@ -211,8 +216,9 @@
     return;
   auto Self = shared_from_this();
   auto Closed = std::move(Functions_.Closed);
+  bool Reports = !Closing_;
   close();
-  if (Closed)
+  if (Closed && Reports)
     Closed();
 }
 
@@ -223,15 +229,47 @@
   if (!Output_.empty())
     Socket_.write_some(asio::buffer(Output_), Ignored);
   Open_ = false;
+  CloseTimer_.reset();
   Output_.clear();
   Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
   Socket_.close(Ignored);
-  // Handlers may hold references to this object. They are reset later because
-  // one of them may be running now.
+  resetHandlersLater();
+}
+
+/// Handlers may hold references to this object. They are reset later because
+/// one of them may be running now.
+void MessageStream::resetHandlersLater() {
   asio::post(Socket_.get_executor(),
              [Self = shared_from_this()] { Self->Functions_ = Handlers{}; });
 }
 
+void MessageStream::closeWhenSent(std::chrono::milliseconds Timeout) {
+  if (!Open_ || Closing_)
+    return;
+  Closing_ = true;
+  IncompleteInput_.clear();
+  resetHandlersLater();
+  closeAfter(Timeout);
+  if (Output_.empty())
+    endOutput();
+}
+
+void MessageStream::endOutput() {
+  boost::system::error_code Ignored;
+  Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+  closeAfter(PeerCloseTimeout);
+}
+
+void MessageStream::closeAfter(std::chrono::milliseconds Delay) {
+  CloseTimer_ =
+      std::make_unique<asio::steady_timer>(Socket_.get_executor(), Delay);
+  CloseTimer_->async_wait([Weak = weak_from_this()](auto Error) {
+    auto Self = Weak.lock();
+    if (Self && !Error)
+      Self->close();
+  });
+}
+
 void setTcpUserTimeout(tcp::socket &Socket, int Millis) {
   boost::system::error_code Ignored;
   using UserTimeoutOption =
--- a/packages/protocol/messagestream.h
+++ b/packages/protocol/messagestream.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <functional>
@@ -26,9 +27,9 @@
 };
 
 /// TCP connection that carries messages. It holds a reference to itself while
-/// an operation is in progress. No handler is called after close(), and none is
-/// called inside a member function: a caller may go on using what it holds,
-/// such as an entry that a handler erases.
+/// an operation is in progress. No handler is called after close() or
+/// closeWhenSent(), and none is called inside a member function: a caller may
+/// go on using what it holds, such as an entry that a handler erases.
 class MessageStream : public std::enable_shared_from_this<MessageStream> {
 public:
   struct Handlers {
@@ -55,7 +56,13 @@
   /// Closes the connection after one non-blocking attempt to send the queued
   /// bytes. Doesn't call Closed.
   void close();
+  /// Closes the connection once the peer has taken the queued bytes, at the
+  /// latest after Timeout. Until then isOpen() is true and what the peer sends
+  /// is discarded. Doesn't call Closed.
+  void closeWhenSent(std::chrono::milliseconds Timeout);
   bool isOpen() const { return Open_; }
+  /// True while queued bytes have not been passed to the system.
+  bool hasUnsentOutput() const { return Open_ && !Output_.empty(); }
 
 private:
   MessageStream(boost::asio::ip::tcp::socket Socket, Framing Mode)
@@ -67,6 +74,11 @@
   void flush();
   void waitUntilWritable();
   void fail();
+  void resetHandlersLater();
+  /// Tells the peer that nothing follows, and waits for it to close.
+  void endOutput();
+  /// Closes the connection after a delay, in place of an earlier one.
+  void closeAfter(std::chrono::milliseconds Delay);
 
   boost::asio::ip::tcp::socket Socket_;
   Framing Framing_;
@@ -74,11 +86,15 @@
   std::string IncompleteInput_;
   std::string Output_;
   bool Open_ = true;
+  /// closeWhenSent() was called.
+  bool Closing_ = false;
   bool FlushScheduled_ = false;
   /// The limit of the queued output was exceeded; the connection is about to
   /// fail.
   bool Overflowed_ = false;
   bool WaitsForWritable_ = false;
+  /// Runs while the connection is being closed.
+  std::unique_ptr<boost::asio::steady_timer> CloseTimer_;
 };
 
 /// Sets TCP_USER_TIMEOUT, in milliseconds: the connection fails if sent data
--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/relaycodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace nutmegloom {
@@ -17,6 +18,8 @@
 /// host can be used instead.
 constexpr ConnectTimeouts HostConnectTimeouts{Milliseconds{400},
                                               Milliseconds{1000}};
+/// Time for another host to take the last responses.
+constexpr Milliseconds DeliveryTimeout{5000};
 
 } // namespace
 
@@ -46,8 +49,18 @@
 
 void RelayLinks::stopAccepting() {
   Acceptor_.stop();
-  for (auto &[Link, Stream] : std::exchange(Incoming_, {}))
-    Stream->close();
+  for (auto &[Link, Stream] : std::exchange(Incoming_, {})) {
+    Stream->closeWhenSent(DeliveryTimeout);
+    Closing_.push_back(Stream);
+  }
+}
+
+std::size_t RelayLinks::unsent() const {
+  auto Unsent =
+      std::count_if(Closing_.begin(), Closing_.end(), [](const auto &Stream) {
+        return Stream->hasUnsentOutput();
+      });
+  return static_cast<std::size_t>(Unsent);
 }
 
 void RelayLinks::onRequest(IncomingRelayId Link, std::string_view Bytes) {
--- a/packages/protocol/relaylinks.h
+++ b/packages/protocol/relaylinks.h
@@ -35,9 +35,12 @@
   /// Listens at the address. Returns an error message; empty on success.
   std::string listen(const std::string &Ip, std::uint16_t Port);
 
-  /// Stops listening and closes the accepted connections without calling
-  /// Closed.
+  /// Stops listening and closes the accepted connections, once their responses
+  /// are sent, without calling Closed.
   void stopAccepting();
+  /// After stopAccepting(): number of connections whose responses are not sent
+  /// yet.
+  std::size_t unsent() const;
 
   /// Sends a message to a host. Without a connection to it, opens one to
   /// Address ("IP:port") and queues the message until then.
@@ -74,6 +77,8 @@
   Hooks Hooks_;
   std::map<HostName, Outgoing> Outgoing_;
   std::map<IncomingRelayId, std::shared_ptr<MessageStream>> Incoming_;
+  /// Accepted connections that are being closed.
+  std::vector<std::shared_ptr<MessageStream>> Closing_;
   std::uint64_t LastAttempt_ = 0;
   IncomingRelayId LastLink_ = 0;
 };
--- a/packages/sessions/gracefulstop.cpp
+++ b/packages/sessions/gracefulstop.cpp
@@ -9,6 +9,8 @@
 constexpr Milliseconds RotationDelay{2300};
 /// Reserved for sending the last answers before the process is killed.
 constexpr Milliseconds StopMargin{600};
+/// Reserved for the exit itself.
+constexpr Milliseconds ExitMargin{100};
 
 } // namespace
 
@@ -30,4 +32,8 @@
   return Stopping >= RotationDelay ? Step::CloseIdle : Step::Serve;
 }
 
+bool GracefulStop::mayExit(std::size_t Unsent, TimePoint Now) const {
+  return Unsent == 0 || Now - *Since_ >= GracePeriod_ - ExitMargin;
+}
+
 } // namespace nutmegloom
--- a/packages/sessions/gracefulstop.h
+++ b/packages/sessions/gracefulstop.h
@@ -36,6 +36,9 @@
   /// callers and of sessions of other hosts. Accepting: whether further ones
   /// can still be accepted.
   Step step(std::size_t Sessions, bool Accepting, TimePoint Now) const;
+  /// After Finished or OutOfTime: true when the process may exit. Unsent:
+  /// number of connections whose last answers are not sent yet.
+  bool mayExit(std::size_t Unsent, TimePoint Now) const;
 
 private:
   Milliseconds GracePeriod_;
--- a/tests/sessions/gracefulstoptest.cpp
+++ b/tests/sessions/gracefulstoptest.cpp
@@ -8,6 +8,7 @@
   CPPUNIT_TEST_SUITE(GracefulStopTest);
   CPPUNIT_TEST(stopsInSteps);
   CPPUNIT_TEST(finishesOnlyOnceNoSessionIsAccepted);
+  CPPUNIT_TEST(exitsOnceTheLastAnswersAreSent);
   CPPUNIT_TEST_SUITE_END();
 
   using Step = GracefulStop::Step;
@@ -36,6 +37,14 @@
     CPPUNIT_ASSERT(stepAfter(3100, 0, true) == Step::EndTransactions);
     CPPUNIT_ASSERT(stepAfter(5500, 0, true) == Step::OutOfTime);
   }
+
+  // Guards against a process that exits while callers still read its answers.
+  void exitsOnceTheLastAnswersAreSent() {
+    Stop_.begin(Now_);
+    CPPUNIT_ASSERT(!Stop_.mayExit(1, Now_ + Milliseconds{5500}));
+    CPPUNIT_ASSERT(Stop_.mayExit(0, Now_ + Milliseconds{3100}));
+    CPPUNIT_ASSERT(Stop_.mayExit(1, Now_ + Milliseconds{5950}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GracefulStopTest);
