--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -1,19 +1,47 @@
 #include "telemetry/events.h"
 
+#include "telemetry/logoutput.h"
+
 #include <nlohmann/json.hpp>
 #include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/ostream_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
+#include <mutex>
 #include <optional>
 
 namespace nutmegloom {
 
 namespace {
 
+/// Writes formatted lines to a file descriptor without blocking on it.
+class DescriptorSink : public spdlog::sinks::base_sink<std::mutex> {
+public:
+  explicit DescriptorSink(int Descriptor) : Output_(Descriptor) {}
+
+  /// Returns the number of dropped lines if they can be reported now, or zero.
+  std::uint64_t takeReportableDrops() {
+    std::lock_guard<std::mutex> Lock(mutex_);
+    return Output_.hasReportableDrops() ? Output_.takeDropped() : 0;
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg &Message) override {
+    spdlog::memory_buf_t Line;
+    formatter_->format(Message, Line);
+    Output_.write({Line.data(), Line.size()});
+  }
+  void flush_() override { Output_.flush(); }
+
+private:
+  LogOutput Output_;
+};
+
 constexpr std::array<LogEventEntry, 34> Events{{
     {LogEvent::HostStarted, LogLevel::Info, "host_started",
      "the host has started"},
@@ -93,22 +121,26 @@
 
 struct LogState {
   std::shared_ptr<spdlog::logger> Logger;
+  /// Set if the lines go to a descriptor.
+  std::shared_ptr<DescriptorSink> Descriptor;
   LogFormat Format = LogFormat::KeyValue;
   LogLevel Level = LogLevel::Info;
 };
 
 void setSink(LogState &State, const spdlog::sink_ptr &Sink) {
+  State.Descriptor = std::dynamic_pointer_cast<DescriptorSink>(Sink);
   State.Logger = std::make_shared<spdlog::logger>("nutmegloom", Sink);
   State.Logger->set_level(spdlog::level::trace);
   State.Logger->set_formatter(std::make_unique<spdlog::pattern_formatter>(
       "%v", spdlog::pattern_time_type::utc));
-  State.Logger->flush_on(spdlog::level::trace);
+  if (!State.Descriptor)
+    State.Logger->flush_on(spdlog::level::trace);
 }
 
 LogState &logState() {
   static LogState State = [] {
     LogState Initial;
-    setSink(Initial, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    setSink(Initial, std::make_shared<DescriptorSink>(STDERR_FILENO));
     return Initial;
   }();
   return State;
@@ -211,12 +243,23 @@
 
 void setLogFormat(LogFormat Format) { logState().Format = Format; }
 
+void setLogDescriptor(int Descriptor) {
+  setSink(logState(), std::make_shared<DescriptorSink>(Descriptor));
+}
+
 void setLogStream(std::ostream &Stream) {
   setSink(logState(), std::make_shared<spdlog::sinks::ostream_sink_mt>(Stream));
 }
 
 void logLine(const std::string &Line) {
-  logState().Logger->log(spdlog::level::info, spdlog::string_view_t(Line));
+  LogState &State = logState();
+  State.Logger->log(spdlog::level::info, spdlog::string_view_t(Line));
+  std::uint64_t Dropped =
+      State.Descriptor ? State.Descriptor->takeReportableDrops() : 0;
+  if (Dropped > 0)
+    logEvent(LogEvent::LogLinesLeftOut,
+             {{"lines", static_cast<std::int64_t>(Dropped)},
+              {"reason", "the reader of the log is too slow"}});
 }
 
 } // namespace nutmegloom
--- a/packages/telemetry/events.h
+++ b/packages/telemetry/events.h
@@ -72,12 +72,16 @@
 
 /// Logs an event with its fields as one line, unless its level is below the
 /// lowest one that is logged. A text is cut after 500 bytes. Lines go to
-/// standard error unless setLogStream() has set another stream.
+/// standard error unless setLogDescriptor() or setLogStream() has set another
+/// output. A process never waits for the reader of a descriptor: lines that it
+/// does not take are queued, then left out and counted.
 void logEvent(LogEvent Event, std::initializer_list<LogField> Fields);
 
 /// Sets the lowest level that is logged. Returns false if the name is unknown.
 bool setLogLevel(std::string_view Name);
 void setLogFormat(LogFormat Format);
+/// Redirects the lines to a file descriptor.
+void setLogDescriptor(int Descriptor);
 /// Redirects the lines to a stream. The stream must outlive later log calls.
 void setLogStream(std::ostream &Stream);
 
