Read the list of databases again before a promotion

Cause: a host that the store had turned away claimed a group with an old list and promoted a database that had drained for 6 s (review/more/drain-late, DRAIN).

Change: the list is read after the claim, and the promotion waits for a read that began later; a candidate that left or drains by it is compared again.

The new test fails with the check removed.

--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -460,6 +460,7 @@
     return;
   }
   Promotion.NextLeader = *Best;
+  Promotion.NextLeaderDrains = Table_.find(*Best)->Listing.Draining;
   claim(Group, Promotion, Now);
 }
 
@@ -508,6 +509,7 @@
   Promotion.AllHostsUpdatedAt.reset();
   Promotion.PlatformCalled = false;
   Hooks_.ListHosts();
+  Hooks_.ListDatabases();
   enter(Group, Promotion, PromotionStage::Waiting, Now);
 }
 
@@ -704,8 +706,25 @@
   }
 }
 
+/// True if the next leader began to drain, or left, after it was chosen.
+bool PromotionSystem::hasNextLeaderLeft(const GroupPromotion &Promotion) const {
+  const DatabaseInfo *Next = Table_.find(Promotion.NextLeader);
+  return !Next || (Next->Listing.Draining && !Promotion.NextLeaderDrains);
+}
+
+/// The host's list of databases may be older than its claim, if the store has
+/// turned the host away for a while. It is read again before the promotion:
+/// statements must not be sent to a database that leaves.
 void PromotionSystem::promote(const GroupId &Group, GroupPromotion &Promotion,
                               TimePoint Now) {
+  bool Listed =
+      DatabasesListedAt_ && *DatabasesListedAt_ >= Promotion.ClaimedAt;
+  if (!Listed && Now - Promotion.ClaimedAt <= WaitTimeout)
+    return;
+  if (!Listed || hasNextLeaderLeft(Promotion)) {
+    beginComparing(Group, Promotion, Promotion.Reason, Now);
+    return;
+  }
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   if (!Record || Record->Revision != Promotion.ClaimRevision ||
       !Lease_.mayAcquire(Now)) {
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -73,6 +73,9 @@
     /// Reads the list of hosts again. The result is passed to
     /// HostTable::applyListed.
     std::function<void()> ListHosts;
+    /// Reads the list of databases again. setDatabasesListedAt() is called when
+    /// the result has been applied.
+    std::function<void()> ListDatabases;
     /// Sends a command to a database. Its report is passed to onReport.
     std::function<void(const DatabaseListing &, const DatabaseCommand &)> Ask;
     std::function<void(const PromotionReport &)> Report;
@@ -89,6 +92,9 @@
   void setListTrustedSince(std::optional<TimePoint> Since) {
     ListTrustedSince_ = Since;
   }
+  /// Sets when the latest read of the list of databases began that has been
+  /// applied.
+  void setDatabasesListedAt(TimePoint BegunAt) { DatabasesListedAt_ = BegunAt; }
   /// Sets since when the store has answered all calls of this host; nothing:
   /// the latest call failed.
   void setStoreReachedSince(std::optional<TimePoint> Since) {
@@ -138,6 +144,8 @@
     /// The old leader failed to answer in the stage Comparing.
     bool OldLeaderFailed = false;
     DatabaseId NextLeader;
+    /// The next leader was listed as draining when it was chosen.
+    bool NextLeaderDrains = false;
     /// The write of a claim was begun, and its outcome is unknown.
     bool ClaimWritePending = false;
     /// Revision of this host's claim.
@@ -209,6 +217,7 @@
   bool hasUnpausedMember(const GroupId &Group,
                          const GroupPromotion &Promotion) const;
   void resumePaused(const GroupId &Group, const GroupPromotion &Promotion);
+  bool hasNextLeaderLeft(const GroupPromotion &Promotion) const;
   void promote(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   void verify(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   void settle(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
@@ -224,6 +233,7 @@
   LeaseManager Lease_;
   bool RecordsListed_ = false;
   std::optional<TimePoint> ListTrustedSince_;
+  std::optional<TimePoint> DatabasesListedAt_;
   std::optional<TimePoint> StoreReachedSince_;
   std::map<GroupId, std::uint32_t> SynchronousReplicas_;
   std::map<GroupId, GroupPromotion> Promotions_;
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(respectsTheLeaseOfAnotherHost);
   CPPUNIT_TEST(requestsNothingWithAnExpiredLease);
   CPPUNIT_TEST(requestsNothingUnderAReplacedClaim);
+  CPPUNIT_TEST(promotesNoDatabaseThatDrainsByTheNewerList);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
@@ -42,6 +43,8 @@
   std::vector<LeadershipRecord> Written_;
   std::vector<PromotionLease> WrittenLeases_;
   std::vector<std::pair<DatabaseId, std::uint64_t>> Promoted_;
+  /// Reads of the list of databases are answered at once.
+  bool ListsDatabases_ = true;
   /// Called when a promotion is requested; optional.
   std::function<void(std::uint64_t Token)> OnPromote_;
   std::map<DatabaseId, DatabaseReport> Reports_;
@@ -62,6 +65,10 @@
         Listed["gone"] = {"y", "", ""};
       Hosts_.applyListed(Listed, Now_);
     };
+    Hooks.ListDatabases = [this] {
+      if (ListsDatabases_)
+        System_.setDatabasesListedAt(Now_);
+    };
     Hooks.Promote = [this](const GroupId &, const DatabaseId &Id,
                            std::uint64_t Token) {
       Promoted_.emplace_back(Id, Token);
@@ -547,6 +554,26 @@
     promoteAfterLossOfLeader();
     CPPUNIT_ASSERT(!Allowed);
   }
+
+  // Guards against a host with a list of databases that is older than its
+  // claim: it promoted a database that had drained for seconds.
+  void promotesNoDatabaseThatDrainsByTheNewerList() {
+    listDatabases({"b", "c"});
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 12);
+    setReport("c", DatabaseRole::Replica, 3, 10);
+    ListsDatabases_ = false;
+    run(Milliseconds{600});
+    CPPUNIT_ASSERT(!Written_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Written_.back().Leader);
+    CPPUNIT_ASSERT(Promoted_.empty());
+    listDatabases({"b", "c"}, "b");
+    ListsDatabases_ = true;
+    System_.setDatabasesListedAt(Now_);
+    run(Milliseconds{1500});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromotionSystemTest);
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -168,6 +168,7 @@
         },
         [] {});
   };
+  Hooks.Promotions.ListDatabases = [this, Index] { readDatabases(Index); };
   Hooks.Promotions.Promote =
       [this, Index](const GroupId &Name, const DatabaseId &Id,
                     std::uint64_t Token) { promote(Index, Name, Id, Token); };
@@ -368,6 +369,21 @@
       });
 }
 
+void Simulation::readDatabases(std::size_t Index) {
+  TimePoint BegunAt = Now_;
+  storeCall(
+      Index, false,
+      [this, Index, BegunAt] {
+        return [this, Index, Listed = listings(), Revision = ListRevision_,
+                BegunAt] {
+          SessionEngine &Engine = *Hosts_[Index]->Engine;
+          Engine.applyDatabases(Listed, Revision, Now_);
+          Engine.promotions().setDatabasesListedAt(BegunAt);
+        };
+      },
+      [] {});
+}
+
 void Simulation::tickHost(std::size_t Index, std::uint64_t Incarnation) {
   Host &At = *Hosts_[Index];
   if (!At.Registered) {
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -163,6 +163,7 @@
     return Incarnation * 100 + From;
   }
   void readRecords(std::size_t Index);
+  void readDatabases(std::size_t Index);
   /// Schedules a call for the host after Delay, or when its pause ends. The
   /// call is dropped if the host restarts before.
   void atHost(std::size_t Index, Milliseconds Delay,
