--- a/packages/sessions/hostschedule.cpp
+++ b/packages/sessions/hostschedule.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t ShortWatchHosts = 2;
 constexpr Milliseconds ShortWatchTimeout{2000};
 constexpr Milliseconds LongWatchTimeout{10000};
-constexpr Milliseconds RefreshInterval{500};
+constexpr Milliseconds RefreshInterval{250};
 
 } // namespace
 
