--- a/packages/protocol/hostobservation.capnp
+++ b/packages/protocol/hostobservation.capnp
@@ -22,6 +22,9 @@
   dutyRevision @13 :UInt64;
   reachesStore @14 :Bool = true;
   region @15 :Text;
+  configurationAge @16 :Int32 = -1;
+  # Number of members in the sender's list.
+  members @17 :UInt32;
 
   struct Group {
     group @0 :Text;
--- a/packages/protocol/hostobservation.capnp.h
+++ b/packages/protocol/hostobservation.capnp.h
@@ -34,7 +34,7 @@
   struct Group;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 10, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 11, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -112,6 +112,10 @@
   inline bool hasRegion() const;
   inline  ::capnp::Text::Reader getRegion() const;
 
+  inline  ::int32_t getConfigurationAge() const;
+
+  inline  ::uint32_t getMembers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -208,6 +212,12 @@
   inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
+  inline  ::int32_t getConfigurationAge();
+  inline void setConfigurationAge( ::int32_t value);
+
+  inline  ::uint32_t getMembers();
+  inline void setMembers( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -701,6 +711,34 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::int32_t HostObservation::Reader::getConfigurationAge() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t HostObservation::Builder::getConfigurationAge() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+inline void HostObservation::Builder::setConfigurationAge( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1);
+}
+
+inline  ::uint32_t HostObservation::Reader::getMembers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HostObservation::Builder::getMembers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void HostObservation::Builder::setMembers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostObservation::Group::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/hostobservationcodec.cpp
+++ b/packages/protocol/hostobservationcodec.cpp
@@ -73,6 +73,8 @@
   Message.Leaving = From.getLeaving();
   Message.ReachesStore = From.getReachesStore();
   Message.ConfigurationVersion = From.getConfigurationVersion();
+  Message.ConfigurationAge = ageOf(From.getConfigurationAge());
+  Message.Members = From.getMembers();
   Message.DatabaseListRevision = From.getDatabaseListRevision();
   Message.SentAt = From.getSentAt();
   Message.EchoIncarnation = From.getEchoIncarnation();
@@ -98,6 +100,8 @@
   To.setLeaving(Message.Leaving);
   To.setReachesStore(Message.ReachesStore);
   To.setConfigurationVersion(Message.ConfigurationVersion);
+  To.setConfigurationAge(ageField(Message.ConfigurationAge));
+  To.setMembers(Message.Members);
   To.setDatabaseListRevision(Message.DatabaseListRevision);
   To.setSentAt(Message.SentAt);
   To.setEchoIncarnation(Message.EchoIncarnation);
--- a/packages/protocol/relay.capnp
+++ b/packages/protocol/relay.capnp
@@ -16,6 +16,10 @@
     pong @5 :Pong;
     configurationRequest @6 :Void;
     configuration @7 :Configuration;
+    quotaRequest @8 :Quota;
+    quotaGrant @9 :Quota;
+    # A ping whose number its answer repeats.
+    numberedPing @10 :UInt64;
   }
 
   struct Configuration {
@@ -23,6 +27,23 @@
     routes @1 :List(Route);
     groups @2 :List(Group);
     transactionIdleTimeout @3 :Int64;
+    requiresKeys @4 :Bool;
+    accounts @5 :List(Account);
+  }
+
+  struct Account {
+    name @0 :Text;
+    # SHA-256 digests.
+    keys @1 :List(Data);
+    isLimited @2 :Bool;
+    operationsPerSecond @3 :Float64;
+    burst @4 :Float64;
+  }
+
+  struct Quota {
+    account @0 :Text;
+    tokens @1 :Float64;
+    number @2 :UInt64;
   }
 
   struct Route {
@@ -33,6 +54,7 @@
     targetLatency @4 :Int64;
     priority @5 :UInt32;
     maximumAge @6 :Int64;
+    isPublic @7 :Bool;
   }
 
   struct Group {
@@ -44,6 +66,10 @@
   struct Pong {
     configurationVersion @0 :UInt64;
     leaving @1 :Bool;
+    # Zero: the message answers no numbered ping.
+    pingNumber @2 :UInt64;
+    # Negative: not known.
+    configurationAge @3 :Int64 = -1;
   }
 
   struct Value {
@@ -79,6 +105,9 @@
     inOpenTransaction @16 :Bool;
     priority @17 :UInt32;
     timeLeft @18 :Int64;
+    account @19 :Text;
+    configurationVersion @20 :UInt64;
+    admitted @21 :Bool;
   }
 
   struct Result {
--- a/packages/protocol/relay.capnp.h
+++ b/packages/protocol/relay.capnp.h
@@ -18,6 +18,8 @@
 
 CAPNP_DECLARE_SCHEMA(a55f54e866aa6f40);
 CAPNP_DECLARE_SCHEMA(de6b268011e989b8);
+CAPNP_DECLARE_SCHEMA(94d109c363a8aebe);
+CAPNP_DECLARE_SCHEMA(e7d7a6d84869834f);
 CAPNP_DECLARE_SCHEMA(f97c437ff1e0863b);
 CAPNP_DECLARE_SCHEMA(b258f6eae3be3dd8);
 CAPNP_DECLARE_SCHEMA(f9f68c1f7576ecbe);
@@ -47,8 +49,13 @@
     PONG,
     CONFIGURATION_REQUEST,
     CONFIGURATION,
+    QUOTA_REQUEST,
+    QUOTA_GRANT,
+    NUMBERED_PING,
   };
   struct Configuration;
+  struct Account;
+  struct Quota;
   struct Route;
   struct Group;
   struct Pong;
@@ -73,7 +80,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de6b268011e989b8, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(de6b268011e989b8, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayMessage::Account {
+  Account() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(94d109c363a8aebe, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayMessage::Quota {
+  Quota() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e7d7a6d84869834f, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -118,7 +155,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9f68c1f7576ecbe, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f9f68c1f7576ecbe, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -163,7 +200,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d500693c91fa041, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9d500693c91fa041, 6, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -233,6 +270,17 @@
   inline bool hasConfiguration() const;
   inline  ::nutmegloom::wire::RelayMessage::Configuration::Reader getConfiguration() const;
 
+  inline bool isQuotaRequest() const;
+  inline bool hasQuotaRequest() const;
+  inline  ::nutmegloom::wire::RelayMessage::Quota::Reader getQuotaRequest() const;
+
+  inline bool isQuotaGrant() const;
+  inline bool hasQuotaGrant() const;
+  inline  ::nutmegloom::wire::RelayMessage::Quota::Reader getQuotaGrant() const;
+
+  inline bool isNumberedPing() const;
+  inline  ::uint64_t getNumberedPing() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -310,6 +358,26 @@
   inline void adoptConfiguration(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Configuration>&& value);
   inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Configuration> disownConfiguration();
 
+  inline bool isQuotaRequest();
+  inline bool hasQuotaRequest();
+  inline  ::nutmegloom::wire::RelayMessage::Quota::Builder getQuotaRequest();
+  inline void setQuotaRequest( ::nutmegloom::wire::RelayMessage::Quota::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::Quota::Builder initQuotaRequest();
+  inline void adoptQuotaRequest(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota> disownQuotaRequest();
+
+  inline bool isQuotaGrant();
+  inline bool hasQuotaGrant();
+  inline  ::nutmegloom::wire::RelayMessage::Quota::Builder getQuotaGrant();
+  inline void setQuotaGrant( ::nutmegloom::wire::RelayMessage::Quota::Reader value);
+  inline  ::nutmegloom::wire::RelayMessage::Quota::Builder initQuotaGrant();
+  inline void adoptQuotaGrant(::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota>&& value);
+  inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota> disownQuotaGrant();
+
+  inline bool isNumberedPing();
+  inline  ::uint64_t getNumberedPing();
+  inline void setNumberedPing( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -363,6 +431,11 @@
 
   inline  ::int64_t getTransactionIdleTimeout() const;
 
+  inline bool getRequiresKeys() const;
+
+  inline bool hasAccounts() const;
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Reader getAccounts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -411,6 +484,16 @@
   inline  ::int64_t getTransactionIdleTimeout();
   inline void setTransactionIdleTimeout( ::int64_t value);
 
+  inline bool getRequiresKeys();
+  inline void setRequiresKeys(bool value);
+
+  inline bool hasAccounts();
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Builder getAccounts();
+  inline void setAccounts( ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Builder initAccounts(unsigned int size);
+  inline void adoptAccounts(::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>> disownAccounts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -437,6 +520,204 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayMessage::Account::Reader {
+public:
+  typedef Account Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+  inline bool getIsLimited() const;
+
+  inline double getOperationsPerSecond() const;
+
+  inline double getBurst() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayMessage::Account::Builder {
+public:
+  typedef Account Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value);
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownKeys();
+
+  inline bool getIsLimited();
+  inline void setIsLimited(bool value);
+
+  inline double getOperationsPerSecond();
+  inline void setOperationsPerSecond(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayMessage::Account::Pipeline {
+public:
+  typedef Account Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayMessage::Quota::Reader {
+public:
+  typedef Quota Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline double getTokens() const;
+
+  inline  ::uint64_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayMessage::Quota::Builder {
+public:
+  typedef Quota Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline double getTokens();
+  inline void setTokens(double value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayMessage::Quota::Pipeline {
+public:
+  typedef Quota Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RelayMessage::Route::Reader {
 public:
   typedef Route Reads;
@@ -470,6 +751,8 @@
 
   inline  ::int64_t getMaximumAge() const;
 
+  inline bool getIsPublic() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -527,6 +810,9 @@
   inline  ::int64_t getMaximumAge();
   inline void setMaximumAge( ::int64_t value);
 
+  inline bool getIsPublic();
+  inline void setIsPublic(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -665,6 +951,10 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getPingNumber() const;
+
+  inline  ::int64_t getConfigurationAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -699,6 +989,12 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getPingNumber();
+  inline void setPingNumber( ::uint64_t value);
+
+  inline  ::int64_t getConfigurationAge();
+  inline void setConfigurationAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -959,6 +1255,13 @@
 
   inline  ::int64_t getTimeLeft() const;
 
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline bool getAdmitted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1072,6 +1375,19 @@
   inline  ::int64_t getTimeLeft();
   inline void setTimeLeft( ::int64_t value);
 
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline bool getAdmitted();
+  inline void setAdmitted(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1609,6 +1925,140 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool RelayMessage::Reader::isQuotaRequest() const {
+  return which() == RelayMessage::QUOTA_REQUEST;
+}
+inline bool RelayMessage::Builder::isQuotaRequest() {
+  return which() == RelayMessage::QUOTA_REQUEST;
+}
+inline bool RelayMessage::Reader::hasQuotaRequest() const {
+  if (which() != RelayMessage::QUOTA_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Builder::hasQuotaRequest() {
+  if (which() != RelayMessage::QUOTA_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmegloom::wire::RelayMessage::Quota::Reader RelayMessage::Reader::getQuotaRequest() const {
+  KJ_IREQUIRE((which() == RelayMessage::QUOTA_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::nutmegloom::wire::RelayMessage::Quota::Builder RelayMessage::Builder::getQuotaRequest() {
+  KJ_IREQUIRE((which() == RelayMessage::QUOTA_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Builder::setQuotaRequest( ::nutmegloom::wire::RelayMessage::Quota::Reader value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::QUOTA_REQUEST);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmegloom::wire::RelayMessage::Quota::Builder RelayMessage::Builder::initQuotaRequest() {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::QUOTA_REQUEST);
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Builder::adoptQuotaRequest(
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota>&& value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::QUOTA_REQUEST);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota> RelayMessage::Builder::disownQuotaRequest() {
+  KJ_IREQUIRE((which() == RelayMessage::QUOTA_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Reader::isQuotaGrant() const {
+  return which() == RelayMessage::QUOTA_GRANT;
+}
+inline bool RelayMessage::Builder::isQuotaGrant() {
+  return which() == RelayMessage::QUOTA_GRANT;
+}
+inline bool RelayMessage::Reader::hasQuotaGrant() const {
+  if (which() != RelayMessage::QUOTA_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Builder::hasQuotaGrant() {
+  if (which() != RelayMessage::QUOTA_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmegloom::wire::RelayMessage::Quota::Reader RelayMessage::Reader::getQuotaGrant() const {
+  KJ_IREQUIRE((which() == RelayMessage::QUOTA_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::nutmegloom::wire::RelayMessage::Quota::Builder RelayMessage::Builder::getQuotaGrant() {
+  KJ_IREQUIRE((which() == RelayMessage::QUOTA_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Builder::setQuotaGrant( ::nutmegloom::wire::RelayMessage::Quota::Reader value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::QUOTA_GRANT);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmegloom::wire::RelayMessage::Quota::Builder RelayMessage::Builder::initQuotaGrant() {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::QUOTA_GRANT);
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Builder::adoptQuotaGrant(
+    ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota>&& value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::QUOTA_GRANT);
+  ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmegloom::wire::RelayMessage::Quota> RelayMessage::Builder::disownQuotaGrant() {
+  KJ_IREQUIRE((which() == RelayMessage::QUOTA_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::nutmegloom::wire::RelayMessage::Quota>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Reader::isNumberedPing() const {
+  return which() == RelayMessage::NUMBERED_PING;
+}
+inline bool RelayMessage::Builder::isNumberedPing() {
+  return which() == RelayMessage::NUMBERED_PING;
+}
+inline  ::uint64_t RelayMessage::Reader::getNumberedPing() const {
+  KJ_IREQUIRE((which() == RelayMessage::NUMBERED_PING),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayMessage::Builder::getNumberedPing() {
+  KJ_IREQUIRE((which() == RelayMessage::NUMBERED_PING),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Builder::setNumberedPing( ::uint64_t value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::NUMBERED_PING);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RelayMessage::Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1705,6 +2155,230 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayMessage::Configuration::Reader::getRequiresKeys() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayMessage::Configuration::Builder::getRequiresKeys() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Configuration::Builder::setRequiresKeys(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayMessage::Configuration::Reader::hasAccounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Configuration::Builder::hasAccounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Reader RelayMessage::Configuration::Reader::getAccounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Configuration::Builder::getAccounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Configuration::Builder::setAccounts( ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>::Builder RelayMessage::Configuration::Builder::initAccounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Configuration::Builder::adoptAccounts(
+    ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>> RelayMessage::Configuration::Builder::disownAccounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmegloom::wire::RelayMessage::Account,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Account::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Account::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Account::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Account::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Account::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Account::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Account::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Account::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Account::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Account::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader RelayMessage::Account::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder RelayMessage::Account::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Account::Builder::setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void RelayMessage::Account::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder RelayMessage::Account::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Account::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> RelayMessage::Account::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RelayMessage::Account::Reader::getIsLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayMessage::Account::Builder::getIsLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Account::Builder::setIsLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RelayMessage::Account::Reader::getOperationsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double RelayMessage::Account::Builder::getOperationsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Account::Builder::setOperationsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RelayMessage::Account::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double RelayMessage::Account::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Account::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayMessage::Quota::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Quota::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Quota::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Quota::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Quota::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Quota::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Quota::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Quota::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double RelayMessage::Quota::Reader::getTokens() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double RelayMessage::Quota::Builder::getTokens() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Quota::Builder::setTokens(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayMessage::Quota::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayMessage::Quota::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Quota::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RelayMessage::Route::Reader::hasDatabase() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1843,6 +2517,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayMessage::Route::Reader::getIsPublic() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayMessage::Route::Builder::getIsPublic() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Route::Builder::setIsPublic(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RelayMessage::Group::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1933,6 +2621,34 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RelayMessage::Pong::Reader::getPingNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayMessage::Pong::Builder::getPingNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Pong::Builder::setPingNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RelayMessage::Pong::Reader::getConfigurationAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t RelayMessage::Pong::Builder::getConfigurationAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void RelayMessage::Pong::Builder::setConfigurationAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool RelayMessage::Value::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2440,6 +3156,68 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayMessage::Work::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Work::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayMessage::Work::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Work::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayMessage::Work::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void RelayMessage::Work::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayMessage::Work::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayMessage::Work::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayMessage::Work::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Work::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayMessage::Work::Reader::getAdmitted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayMessage::Work::Builder::getAdmitted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+inline void RelayMessage::Work::Builder::setAdmitted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RelayMessage::Result::Reader::getSession() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/protocol/relaycodec.cpp
+++ b/packages/protocol/relaycodec.cpp
@@ -5,6 +5,9 @@
 
 #include <kj/exception.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace nutmegloom {
 
 namespace {
@@ -91,6 +94,9 @@
   To.setInOpenTransaction(Message.InOpenTransaction);
   To.setPriority(Work.Priority);
   To.setTimeLeft(Message.TimeLeft.count());
+  To.setAccount(readerOf(Work.Account));
+  To.setConfigurationVersion(Work.ConfigurationVersion);
+  To.setAdmitted(Work.Admitted);
 }
 
 RelayedStatement decodeWork(Wire::Work::Reader From) {
@@ -119,6 +125,9 @@
   Message.InOpenTransaction = From.getInOpenTransaction();
   Work.Priority = From.getPriority();
   Message.TimeLeft = Milliseconds{From.getTimeLeft()};
+  Work.Account = textOf(From.getAccount());
+  Work.ConfigurationVersion = From.getConfigurationVersion();
+  Work.Admitted = From.getAdmitted();
   return Message;
 }
 
@@ -153,7 +162,7 @@
   StatementAnswer &Answer = Result.Answer;
   Message.Session = From.getSession();
   Message.Number = From.getNumber();
-  Answer.Code = enumeratorOf(From.getCode(), StatementCode::InDoubt);
+  Answer.Code = enumeratorOf(From.getCode(), StatementCode::Denied);
   for (auto Row : From.getRows())
     Answer.Rows.push_back(textOf(Row));
   Answer.Signature = textOf(From.getSignature());
@@ -173,6 +182,50 @@
   return Message;
 }
 
+void encodeAccount(Wire::Account::Builder To, const AccountSettings &From) {
+  To.setName(readerOf(From.Account));
+  auto Keys = To.initKeys(static_cast<unsigned>(From.Keys.size()));
+  unsigned At = 0;
+  for (const KeyDigest &Key : From.Keys)
+    Keys.set(At++, capnp::Data::Reader(Key.data(), Key.size()));
+  To.setIsLimited(From.Quota.has_value());
+  if (!From.Quota)
+    return;
+  To.setOperationsPerSecond(From.Quota->OperationsPerSecond);
+  To.setBurst(From.Quota->Burst);
+}
+
+AccountSettings accountOf(Wire::Account::Reader From) {
+  AccountSettings Account;
+  Account.Account = textOf(From.getName());
+  for (auto Bytes : From.getKeys()) {
+    KeyDigest Key{};
+    if (Bytes.size() != Key.size())
+      throw RelayError{"digest of another length"};
+    std::copy(Bytes.begin(), Bytes.end(), Key.begin());
+    Account.Keys.insert(Key);
+  }
+  if (From.getIsLimited())
+    Account.Quota = {From.getOperationsPerSecond(), From.getBurst()};
+  return Account;
+}
+
+void encodeQuota(Wire::Quota::Builder To, const AccountName &Account,
+                 double Tokens, std::uint64_t Number) {
+  To.setAccount(readerOf(Account));
+  To.setTokens(Tokens);
+  To.setNumber(Number);
+}
+
+/// Reads a QuotaRequest or a QuotaGrant. Throws RelayError for a number that
+/// counts no tokens.
+template <typename Message> Message quotaOf(Wire::Quota::Reader From) {
+  double Tokens = From.getTokens();
+  if (!std::isfinite(Tokens) || Tokens < 0)
+    throw RelayError{"number of tokens out of range"};
+  return {textOf(From.getAccount()), Tokens, From.getNumber()};
+}
+
 void encodeConfiguration(Wire::Configuration::Builder To,
                          const SessionConfiguration &From) {
   To.setVersion(From.Version);
@@ -188,6 +241,7 @@
     Entry.setTargetLatency(Route.TargetLatency.count());
     Entry.setPriority(Route.Priority);
     Entry.setMaximumAge(Route.MaximumAge.count());
+    Entry.setIsPublic(Route.Public);
   }
   auto Groups = To.initGroups(static_cast<unsigned>(From.Groups.size()));
   At = 0;
@@ -197,6 +251,11 @@
     Entry.setConnectionCap(Group.ConnectionCap);
     Entry.setSynchronousReplicas(Group.SynchronousReplicas);
   }
+  To.setRequiresKeys(From.RequiresKeys);
+  auto Accounts = To.initAccounts(static_cast<unsigned>(From.Accounts.size()));
+  At = 0;
+  for (const auto &[Name, Account] : From.Accounts)
+    encodeAccount(Accounts[At++], Account);
 }
 
 SessionConfiguration decodeConfiguration(Wire::Configuration::Reader From) {
@@ -212,6 +271,7 @@
     Route.TargetLatency = Milliseconds{Entry.getTargetLatency()};
     Route.Priority = Entry.getPriority();
     Route.MaximumAge = Milliseconds{Entry.getMaximumAge()};
+    Route.Public = Entry.getIsPublic();
     std::string Name = Route.Database;
     Read.Routes.emplace(std::move(Name), std::move(Route));
   }
@@ -221,6 +281,12 @@
     GroupId Name = Group.Group;
     Read.Groups.emplace(std::move(Name), std::move(Group));
   }
+  Read.RequiresKeys = From.getRequiresKeys();
+  for (auto Entry : From.getAccounts()) {
+    AccountSettings Account = accountOf(Entry);
+    AccountName Name = Account.Account;
+    Read.Accounts.emplace(std::move(Name), std::move(Account));
+  }
   return Read;
 }
 
@@ -238,7 +304,20 @@
   void operator()(const RelayedTransactionLoss &Message) {
     To.setLoss(Message.Session);
   }
-  void operator()(const RelayPing &) { To.setPing(); }
+  void operator()(const RelayPing &Message) {
+    if (Message.Number == 0)
+      To.setPing();
+    else
+      To.setNumberedPing(Message.Number);
+  }
+  void operator()(const QuotaRequest &Message) {
+    encodeQuota(To.initQuotaRequest(), Message.Account, Message.Tokens,
+                Message.Number);
+  }
+  void operator()(const QuotaGrant &Message) {
+    encodeQuota(To.initQuotaGrant(), Message.Account, Message.Tokens,
+                Message.Number);
+  }
   void operator()(const ConfigurationRequest &) {
     To.setConfigurationRequest();
   }
@@ -249,9 +328,22 @@
     auto Pong = To.initPong();
     Pong.setConfigurationVersion(Message.ConfigurationVersion);
     Pong.setLeaving(Message.Leaving);
+    Pong.setPingNumber(Message.PingNumber);
+    if (Message.ConfigurationAge)
+      Pong.setConfigurationAge(Message.ConfigurationAge->count());
   }
 };
 
+RelayPong decodePong(Wire::Pong::Reader From) {
+  RelayPong Message;
+  Message.ConfigurationVersion = From.getConfigurationVersion();
+  Message.Leaving = From.getLeaving();
+  Message.PingNumber = From.getPingNumber();
+  if (From.getConfigurationAge() >= 0)
+    Message.ConfigurationAge = Milliseconds{From.getConfigurationAge()};
+  return Message;
+}
+
 RelayMessage decodeMessage(Wire::Reader From) {
   switch (From.which()) {
   case Wire::WORK:
@@ -269,8 +361,13 @@
   case Wire::CONFIGURATION:
     return decodeConfiguration(From.getConfiguration());
   case Wire::PONG:
-    return RelayPong{From.getPong().getConfigurationVersion(),
-                     From.getPong().getLeaving()};
+    return decodePong(From.getPong());
+  case Wire::NUMBERED_PING:
+    return RelayPing{From.getNumberedPing()};
+  case Wire::QUOTA_REQUEST:
+    return quotaOf<QuotaRequest>(From.getQuotaRequest());
+  case Wire::QUOTA_GRANT:
+    return quotaOf<QuotaGrant>(From.getQuotaGrant());
   }
   throw RelayError{"unknown message type"};
 }
--- a/packages/sessions/databasepool.cpp
+++ b/packages/sessions/databasepool.cpp
@@ -11,6 +11,10 @@
 constexpr std::uint32_t ReservedConnections = 2;
 constexpr std::size_t MinimumShare = 2;
 constexpr std::size_t MaximumOpening = 2;
+/// Used for connections of accounts, each of which serves one account only.
+constexpr std::size_t MaximumOpeningForAccounts = 6;
+/// A connection that takes longer to open is not counted on.
+constexpr Milliseconds ExpectedOpenTime{60};
 constexpr Milliseconds OverloadedPause{300};
 /// Used while the host has no connection to the database at all.
 constexpr Milliseconds OverloadedPauseWithoutConnection{100};
@@ -70,37 +74,69 @@
     : Table_(Table), Hooks_(std::move(Callbacks)) {}
 
 std::optional<ConnectionId>
-DatabasePool::take(const DatabaseId &Database,
+DatabasePool::take(const DatabaseId &Database, const AccountName &Account,
                    const SessionVariables &Variables) {
   auto Found = ConnectionsByDatabase_.find(Database);
-  if (Found == ConnectionsByDatabase_.end() || Found->second.Idle.empty())
+  if (Found == ConnectionsByDatabase_.end())
     return std::nullopt;
   std::vector<ConnectionId> &Idle = Found->second.Idle;
+  auto Best = Idle.end();
+  std::size_t BestCommands = 0;
   // The connection returned last is preferred, so that the others stay idle and
   // can be closed.
-  auto Best = Idle.end() - 1;
-  std::size_t BestCommands =
-      commandsToMatch(Connections_.at(*Best).Profile, Variables, nullptr, {})
-          .size();
-  for (auto At = Idle.end() - 1; BestCommands > 0 && At != Idle.begin();) {
+  for (auto At = Idle.end(); At != Idle.begin();) {
     --At;
+    const Entry &Candidate = Connections_.at(*At);
+    if (Candidate.Account != Account)
+      continue;
     std::size_t Commands =
-        commandsToMatch(Connections_.at(*At).Profile, Variables, nullptr, {})
-            .size();
-    if (Commands >= BestCommands)
+        commandsToMatch(Candidate.Profile, Variables, nullptr, {}).size();
+    if (Best != Idle.end() && Commands >= BestCommands)
       continue;
     Best = At;
     BestCommands = Commands;
+    if (Commands == 0)
+      break;
   }
+  if (Best == Idle.end())
+    return std::nullopt;
   ConnectionId Taken = *Best;
   Idle.erase(Best);
   Connections_.at(Taken).State = UseState::Taken;
   return Taken;
 }
 
-bool DatabasePool::hasIdle(const DatabaseId &Database) const {
+bool DatabasePool::hasIdle(const DatabaseId &Database,
+                           const AccountName &Account) const {
   auto Found = ConnectionsByDatabase_.find(Database);
-  return Found != ConnectionsByDatabase_.end() && !Found->second.Idle.empty();
+  return Found != ConnectionsByDatabase_.end() &&
+         std::any_of(Found->second.Idle.begin(), Found->second.Idle.end(),
+                     [&](ConnectionId Id) {
+                       return Connections_.at(Id).Account == Account;
+                     });
+}
+
+std::optional<ConnectionId>
+DatabasePool::replaceableFor(const DatabaseConnections &Target,
+                             const AccountName &Account) const {
+  for (ConnectionId Id : Target.Idle)
+    if (Connections_.at(Id).Account != Account)
+      return Id;
+  return std::nullopt;
+}
+
+std::size_t DatabasePool::openingFor(const DatabaseId &Database,
+                                     const AccountName &Account,
+                                     TimePoint Now) const {
+  if (openingOf(Database) == 0)
+    return 0;
+  return static_cast<std::size_t>(std::count_if(
+      Connections_.begin(), Connections_.end(), [&](const auto &Known) {
+        const Entry &Opening = Known.second;
+        return Opening.State == UseState::Opening &&
+               Opening.Database == Database && Opening.Account == Account &&
+               Now - Opening.Since < ExpectedOpenTime;
+      }));
 }
 
 std::size_t DatabasePool::shareOf(const DatabaseId &Database) const {
@@ -116,7 +152,8 @@
                                Usable / std::max<std::size_t>(1, LiveHosts_));
 }
 
-bool DatabasePool::mayOpen(const DatabaseId &Database, bool Urgent,
+bool DatabasePool::mayOpen(const DatabaseId &Database,
+                           const AccountName &Account, bool Urgent,
                            TimePoint Now) const {
   const DatabaseInfo *Info = Table_.find(Database);
   if (!Info || Now < Info->AvoidUntil)
@@ -125,13 +162,15 @@
   if (Found == ConnectionsByDatabase_.end())
     return true;
   const DatabaseConnections &Target = Found->second;
-  if (Target.Opening >= MaximumOpening || Now < Target.OverloadedUntil)
+  std::size_t MaximumAtOnce =
+      Account.empty() ? MaximumOpening : MaximumOpeningForAccounts;
+  if (Target.Opening >= MaximumAtOnce || Now < Target.OverloadedUntil)
     return false;
   bool IsRecovering = Now - StartedAt_ < LostConnectionLinger;
   std::size_t Limit = IsRecovering ? baseOf(Database) : shareOf(Database);
   if (Urgent)
     Limit += std::min(Target.Pinned, Limit);
-  return Target.Total < Limit;
+  return Target.Total < Limit || replaceableFor(Target, Account);
 }
 
 std::size_t DatabasePool::baseOf(const DatabaseId &Database) const {
@@ -146,18 +185,24 @@
   ++ConnectionsByDatabase_[Found->second.Database].Pinned;
 }
 
-void DatabasePool::open(const DatabaseId &Database, TimePoint Now) {
+void DatabasePool::open(const DatabaseId &Database, const AccountName &Account,
+                        TimePoint Now) {
   const DatabaseInfo *Info = Table_.find(Database);
   if (!Info)
     return;
+  const DatabaseConnections &Present = ConnectionsByDatabase_[Database];
+  if (Present.Total >= shareOf(Database))
+    if (std::optional<ConnectionId> Replaced = replaceableFor(Present, Account))
+      drop(*Replaced);
   ConnectionId Id = ++LastConnection_;
   Entry &Opening = Connections_[Id];
   Opening.Database = Database;
+  Opening.Account = Account;
   Opening.Since = Now;
   DatabaseConnections &Target = ConnectionsByDatabase_[Database];
   ++Target.Opening;
   ++Target.Total;
-  Hooks_.Open(Id, Info->Listing);
+  Hooks_.Open(Id, Info->Listing, Account);
 }
 
 void DatabasePool::release(ConnectionId Connection, TimePoint Now) {
--- a/packages/sessions/databasepool.h
+++ b/packages/sessions/databasepool.h
@@ -50,10 +50,17 @@
 /// database goes on counting the connections of hosts that lost power, and must
 /// have room for those that the hosts open when they are back. Until then,
 /// a host that was started opens no more than half of its share.
+///
+/// A database is told the client account when a connection is opened, so a
+/// connection serves one account. Once the share is used up, the idle
+/// connection of another account that was used longest ago makes room for a new
+/// one.
 class DatabasePool {
 public:
   struct Hooks {
-    std::function<void(ConnectionId, const DatabaseListing &)> Open;
+    std::function<void(ConnectionId, const DatabaseListing &,
+                       const AccountName &)>
+        Open;
     std::function<void(ConnectionId)> Close;
   };
 
@@ -67,15 +74,24 @@
   void setHosts(std::size_t LiveHosts) { LiveHosts_ = LiveHosts; }
   void setCap(const GroupId &Group, std::uint32_t Cap) { Caps_[Group] = Cap; }
 
-  /// Takes the idle connection that needs the fewest commands to set Variables.
-  /// Returns nothing if no connection is idle.
+  /// Takes the account's idle connection that needs the fewest commands to set
+  /// Variables. Returns nothing if none is idle.
   std::optional<ConnectionId> take(const DatabaseId &Database,
+                                   const AccountName &Account,
                                    const SessionVariables &Variables);
-  bool hasIdle(const DatabaseId &Database) const;
-  /// True when another connection may be opened. Urgent: a statement waits, so
-  /// the share may be exceeded in place of connections with transactions.
-  bool mayOpen(const DatabaseId &Database, bool Urgent, TimePoint Now) const;
-  void open(const DatabaseId &Database, TimePoint Now);
+  bool hasIdle(const DatabaseId &Database, const AccountName &Account) const;
+  /// True when another connection may be opened for the account. Urgent: a
+  /// statement waits, so the share may be exceeded in place of connections with
+  /// transactions.
+  bool mayOpen(const DatabaseId &Database, const AccountName &Account,
+               bool Urgent, TimePoint Now) const;
+  /// Opens a connection, and closes an idle one of another account if there is
+  /// no room for both.
+  void open(const DatabaseId &Database, const AccountName &Account,
+            TimePoint Now);
+  /// Number of connections for the account that are expected to be open soon.
+  std::size_t openingFor(const DatabaseId &Database, const AccountName &Account,
+                         TimePoint Now) const;
   /// Puts a connection back into the pool. It must have no pending answer and
   /// no open transaction.
   void release(ConnectionId Connection, TimePoint Now);
@@ -111,6 +127,7 @@
   enum class UseState { Opening, Idle, Taken, Pinned };
   struct Entry {
     DatabaseId Database;
+    AccountName Account;
     UseState State = UseState::Opening;
     TimePoint Since;
     ConnectionProfile Profile;
@@ -123,6 +140,9 @@
     TimePoint OverloadedUntil;
   };
 
+  /// Idle connection of another account that was used longest ago.
+  std::optional<ConnectionId> replaceableFor(const DatabaseConnections &Target,
+                                             const AccountName &Account) const;
   /// Number of connections that this host keeps open without need.
   std::size_t baseOf(const DatabaseId &Database) const;
 
--- a/packages/sessions/hostschedule.cpp
+++ b/packages/sessions/hostschedule.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t ShortWatchHosts = 2;
 constexpr Milliseconds ShortWatchTimeout{2000};
 constexpr Milliseconds LongWatchTimeout{10000};
+/// Used for short watches where configurations must be confirmed: each watch
+/// that ends without a change confirms the present one.
+constexpr Milliseconds ConfirmingWatchTimeout{800};
 constexpr Milliseconds RefreshInterval{250};
 
 } // namespace
@@ -80,10 +83,24 @@
 }
 
 Milliseconds HostSchedule::watchWait(TimePoint Now) const {
-  std::vector<HostName> Live = Engine_.hosts().liveHosts(Now);
-  auto Rank = std::find(Live.begin(), Live.end(), Self_) - Live.begin();
-  bool IsShort = static_cast<std::size_t>(Rank) < ShortWatchHosts;
-  return IsShort ? ShortWatchTimeout : LongWatchTimeout;
+  return isAmongFirst(ShortWatchHosts, Engine_.hosts().liveHosts(Now))
+             ? ShortWatchTimeout
+             : LongWatchTimeout;
+}
+
+Milliseconds HostSchedule::configurationWatchWait(TimePoint Now) const {
+  if (!Engine_.freshness().isBounded() ||
+      !Engine_.sessions().configuration().RequiresKeys)
+    return watchWait(Now);
+  return isAmongFirst(ShortWatchHosts, Engine_.hosts().hostsReachingStore(Now))
+             ? ConfirmingWatchTimeout
+             : LongWatchTimeout;
+}
+
+bool HostSchedule::isAmongFirst(std::size_t Count,
+                                const std::vector<HostName> &Hosts) const {
+  auto Rank = std::find(Hosts.begin(), Hosts.end(), Self_) - Hosts.begin();
+  return static_cast<std::size_t>(Rank) < Count;
 }
 
 HostSchedule::Refresh HostSchedule::refreshDue(TimePoint Now) {
--- a/packages/sessions/hostschedule.h
+++ b/packages/sessions/hostschedule.h
@@ -36,8 +36,10 @@
   /// a promotion relies on the list to contain all hosts that use records.
   void onRegistered() { Registered_ = true; }
 
-  /// How long a watch of the store waits for a change.
+  /// How long a watch of the list of databases waits for a change.
   Milliseconds watchWait(TimePoint Now) const;
+  /// How long a watch of the configuration waits for a change.
+  Milliseconds configurationWatchWait(TimePoint Now) const;
   struct Refresh {
     bool Configuration = false;
     bool Databases = false;
@@ -48,6 +50,8 @@
 
 private:
   bool isRecordsReaderOfRegion(TimePoint Now) const;
+  bool isAmongFirst(std::size_t Count,
+                    const std::vector<HostName> &Hosts) const;
 
   HostName Self_;
   RegionName Region_;
--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -75,6 +75,7 @@
   for (const GroupObservation &Group : Message.Groups)
     Sender.RecordRevisions[Group.Record.Group] = Group.Record.Revision;
   Sender.ConfigurationVersion = Message.ConfigurationVersion;
+  Sender.Members = Message.Members;
   Sender.DatabaseListRevision = Message.DatabaseListRevision;
   if (Message.EchoIncarnation != Incarnation_)
     return std::nullopt;
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -33,6 +33,10 @@
   /// True if the sender's latest call to the store was answered.
   bool ReachesStore = true;
   std::uint64_t ConfigurationVersion = 0;
+  /// Time since ConfigurationVersion was last known to be the latest one.
+  std::optional<Milliseconds> ConfigurationAge;
+  /// Number of members in the sender's list.
+  std::uint32_t Members = 0;
   std::uint64_t DatabaseListRevision = 0;
   /// Time of sending by the sender's clock, in microseconds.
   std::uint64_t SentAt = 0;
@@ -72,6 +76,8 @@
     /// Revisions of the leadership records that the peer uses.
     std::map<GroupId, std::uint64_t> RecordRevisions;
     std::uint64_t ConfigurationVersion = 0;
+    /// Number of members in the peer's list.
+    std::uint32_t Members = 0;
     std::uint64_t DatabaseListRevision = 0;
     /// Latest start of an exchange of this peer that each leader answered.
     std::map<DatabaseId, TimePoint> LeaderAnswered;
--- a/packages/sessions/membership.cpp
+++ b/packages/sessions/membership.cpp
@@ -173,6 +173,7 @@
   if (Stopping_)
     return;
   if (Outcome == WriteOutcome::Written) {
+    AddedSlot_ = Own_.Revision == 0;
     join(Revision);
     list(Now);
     return;
--- a/packages/sessions/membership.h
+++ b/packages/sessions/membership.h
@@ -64,6 +64,10 @@
   void stop();
 
   bool isMember() const { return Member_; }
+  /// Number of slots in the latest list.
+  std::size_t slots() const { return Slots_.size(); }
+  /// True if this host's slot did not exist before it took it.
+  bool hasAddedSlot() const { return AddedSlot_; }
   /// True when it is known whether this host is a member.
   bool isDecided() const { return Member_ || NoFreeSlot_; }
 
@@ -88,6 +92,7 @@
   bool Writing_ = false;
   bool Member_ = false;
   bool NoFreeSlot_ = false;
+  bool AddedSlot_ = false;
   bool Stopping_ = false;
   MemberSlot Own_;
   std::optional<TimePoint> FirstListedAt_;
--- a/packages/sessions/relayedsessions.cpp
+++ b/packages/sessions/relayedsessions.cpp
@@ -21,8 +21,11 @@
     runStatement(Link, *Asked, Now);
   else if (const auto *Ended = std::get_if<RelayedCancel>(&Message))
     endSession({Link, Ended->Session}, Now);
-  else if (std::holds_alternative<RelayPing>(Message))
-    Hooks_.Send(Link, pong());
+  else if (const auto *Ping = std::get_if<RelayPing>(&Message))
+    Hooks_.Send(Link, RelayPong{Hooks_.Configuration().Version, Leaving_,
+                                Ping->Number, Hooks_.ConfigurationAge(Now)});
+  else if (const auto *Quota = std::get_if<QuotaRequest>(&Message))
+    Hooks_.Send(Link, Admission_.onRequest(*Quota, Now));
   else if (std::holds_alternative<ConfigurationRequest>(Message))
     Hooks_.Send(Link, Hooks_.Configuration());
 }
@@ -56,7 +59,10 @@
   Work.ReceivedAt = Now;
   Work.Deadline = Now + Message.TimeLeft;
   Held.HasStatement = true;
-  Runner_.submit(std::move(Work), Now);
+  if (Work.Pinned)
+    Runner_.submit(std::move(Work), Now);
+  else
+    Admission_.submit(std::move(Work), Now);
 }
 
 void RelayedSessions::endSession(const Origin &From, TimePoint Now) {
@@ -67,6 +73,7 @@
   std::optional<ConnectionId> Pinned = Sessions_.at(Session).Pinned;
   Numbers_.erase(Number);
   Sessions_.erase(Session);
+  Admission_.cancel(Session);
   Runner_.cancel(Session, Pinned, Now);
 }
 
@@ -85,13 +92,12 @@
   return First != Numbers_.end() && First->first.first == Link;
 }
 
-RelayPong RelayedSessions::pong() const {
-  return {Hooks_.Configuration().Version, Leaving_};
-}
-
 void RelayedSessions::announce() {
+  RelayPong Message;
+  Message.ConfigurationVersion = Hooks_.Configuration().Version;
+  Message.Leaving = Leaving_;
   for (const auto &[Link, At] : HeardAt_)
-    Hooks_.Send(Link, pong());
+    Hooks_.Send(Link, Message);
 }
 
 void RelayedSessions::beginDrain() {
--- a/packages/sessions/relayedsessions.h
+++ b/packages/sessions/relayedsessions.h
@@ -1,6 +1,7 @@
 #ifndef NUTMEGLOOM_SESSIONS_RELAYEDSESSIONS_H
 #define NUTMEGLOOM_SESSIONS_RELAYEDSESSIONS_H
 
+#include "sessions/quotaadmission.h"
 #include "sessions/relaymessages.h"
 #include "sessions/statementrunner.h"
 
@@ -14,10 +15,13 @@
     std::function<void(IncomingRelayId, const RelayMessage &)> Send;
     std::function<void(IncomingRelayId)> Close;
     std::function<const SessionConfiguration &()> Configuration;
+    /// Time since the configuration was last known to be the latest one.
+    std::function<std::optional<Milliseconds>(TimePoint)> ConfigurationAge;
   };
 
-  RelayedSessions(StatementRunner &Runner, Hooks Callbacks)
-      : Runner_(Runner), Hooks_(std::move(Callbacks)) {}
+  RelayedSessions(StatementRunner &Runner, QuotaAdmission &Admission,
+                  Hooks Callbacks)
+      : Runner_(Runner), Admission_(Admission), Hooks_(std::move(Callbacks)) {}
 
   /// True for a session id that was assigned by this class.
   static bool isRelayed(CallerSessionId Session);
@@ -61,11 +65,11 @@
                     TimePoint Now);
   void endSession(const Origin &From, TimePoint Now);
   void forgetIfIdle(CallerSessionId Session);
-  RelayPong pong() const;
   void announce();
   bool hasSessions(IncomingRelayId Link) const;
 
   StatementRunner &Runner_;
+  QuotaAdmission &Admission_;
   Hooks Hooks_;
   std::map<CallerSessionId, Relayed> Sessions_;
   std::map<Origin, CallerSessionId> Numbers_;
--- a/packages/sessions/relaymessages.h
+++ b/packages/sessions/relaymessages.h
@@ -43,13 +43,35 @@
 };
 
 /// Checks that the receiver still answers.
-struct RelayPing {};
+struct RelayPing {
+  /// Zero: the sender does not need to know which ping an answer belongs to.
+  std::uint64_t Number = 0;
+};
 /// Answers a ping.
 struct RelayPong {
   /// Version of the configuration that the sender uses.
   std::uint64_t ConfigurationVersion = 0;
   /// The sender is draining; no new statements should be relayed to it.
   bool Leaving = false;
+  /// Number of the ping that the message answers; zero: of none.
+  std::uint64_t PingNumber = 0;
+  /// Time since the version was last known to be the latest one; nothing: it
+  /// never was.
+  std::optional<Milliseconds> ConfigurationAge;
+};
+
+/// Asks another member for a part of its tokens for an account.
+struct QuotaRequest {
+  AccountName Account;
+  double Tokens = 0;
+  /// Number of the request at its sender.
+  std::uint64_t Number = 0;
+};
+/// Answers a QuotaRequest with tokens that the receiver may use.
+struct QuotaGrant {
+  AccountName Account;
+  double Tokens = 0;
+  std::uint64_t Number = 0;
 };
 
 /// Asks for the configuration that the receiver uses.
@@ -59,7 +81,8 @@
 using RelayMessage =
     std::variant<RelayedStatement, RelayedCancel, RelayedResult,
                  RelayedTransactionLoss, RelayPing, RelayPong,
-                 ConfigurationRequest, SessionConfiguration>;
+                 ConfigurationRequest, SessionConfiguration, QuotaRequest,
+                 QuotaGrant>;
 
 /// Identifies an incoming relay connection inside one process. Never reused.
 using IncomingRelayId = std::uint64_t;
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -17,6 +17,9 @@
 /// Time for a configuration to arrive while the connection on which it was
 /// requested works.
 constexpr Milliseconds ConfigurationTransferTimeout{5000};
+/// How long an added member leaves the quotas to the others, unless all of them
+/// are known to count it. Members read their list every 10 s.
+constexpr Milliseconds AddedMemberDelay{12000};
 
 Milliseconds ageOf(TimePoint Moment, TimePoint Now) {
   return std::chrono::ceil<Milliseconds>(Now - Moment);
@@ -49,12 +52,17 @@
                  return Promotions_.leaderExpectedIn(Group, Now);
                },
                Hooks_.ReachabilityChanged, Hooks_.StatementPrepared}),
-      Relayed_(Runner_, {Hooks_.AnswerHost, Hooks_.CloseLink,
-                         [this]() -> const SessionConfiguration & {
-                           return Proxy_.configuration();
-                         }}),
+      Admission_(admissionHooks()),
+      Relayed_(Runner_, Admission_,
+               {Hooks_.AnswerHost, Hooks_.CloseLink,
+                [this]() -> const SessionConfiguration & {
+                  return Proxy_.configuration();
+                },
+                [this](TimePoint Now) {
+                  return Freshness_.ageOf(Proxy_.configuration().Version, Now);
+                }}),
       Router_(
-          Runner_, Table_, Authority_, Hosts_,
+          Runner_, Admission_, Table_, Authority_, Hosts_,
           {Hooks_.AskHost, Hooks_.CloseRelay,
            [this](CallerSessionId Session, StatementResult Result,
                   TimePoint Now) {
@@ -65,21 +73,121 @@
            },
            [this](const HostName &Host, std::uint64_t Version, TimePoint Now) {
              onConfigurationSeen(Host, Version, Now);
+           },
+           [this](std::uint64_t Version, TimePoint Moment) {
+             Freshness_.confirm(Version, Moment);
            }}),
-      Proxy_(Router_, Hooks_.Sessions),
+      Proxy_(Router_, Freshness_, Hooks_.Sessions),
       Promotions_(Table_, Hosts_, Authority_, Hooks_.Promotions),
       Check_(Table_, Hosts_, Authority_, Hooks_.Promotions.Ask) {
   Router_.setLocation(Location_.Zone, Location_.Region);
 }
 
-bool SessionEngine::applyConfiguration(SessionConfiguration Configuration) {
+QuotaAdmission::Hooks SessionEngine::admissionHooks() {
+  QuotaAdmission::Hooks Hooks;
+  Hooks.Admitted = [this](StatementWork Work, TimePoint Now) {
+    if (RelayedSessions::isRelayed(Work.Session))
+      Runner_.submit(std::move(Work), Now);
+    else
+      Router_.onAdmitted(std::move(Work), Now);
+  };
+  Hooks.Refused = [this](const StatementWork &Work, Milliseconds RetryAfter,
+                         TimePoint Now) {
+    refuseBeyondQuota(Work, RetryAfter, Now);
+  };
+  Hooks.Ask = [this](const HostName &Host, const QuotaRequest &Request) {
+    Hooks_.AskHost(Host, Request);
+  };
+  Hooks.Members = [this](TimePoint Now) { return membersToAsk(Now); };
+  return Hooks;
+}
+
+void SessionEngine::refuseBeyondQuota(const StatementWork &Work,
+                                      Milliseconds RetryAfter, TimePoint Now) {
+  if (Hooks_.QuotaRefused)
+    Hooks_.QuotaRefused(Work.Account, RetryAfter);
+  StatementResult Result;
+  Result.Answer.Code = StatementCode::Busy;
+  Result.Answer.Detail = "over the account's rate limit, not run";
+  Result.RetryAfter = RetryAfter;
+  if (RelayedSessions::isRelayed(Work.Session))
+    Relayed_.onFinished(Work.Session, std::move(Result));
+  else
+    Proxy_.onFinished(Work.Session, std::move(Result), Now);
+}
+
+/// The live members of this region, and those of the others.
+std::vector<std::vector<HostName>>
+SessionEngine::membersToAsk(TimePoint Now) const {
+  std::vector<std::vector<HostName>> Groups(2);
+  for (const auto &[Name, Peer] : Hosts_.peers())
+    if (Hosts_.isListed(Name) && Hosts_.isLive(Name, Now))
+      Groups[Peer.Region == Location_.Region ? 0 : 1].push_back(Name);
+  return Groups;
+}
+
+void SessionEngine::setKeyRevocationBound(std::optional<Milliseconds> Bound) {
+  Freshness_.setBound(Bound);
+  Router_.setConfirmsConfiguration(Bound.has_value());
+}
+
+bool SessionEngine::beginDueConfigurationRead(TimePoint Now) {
+  const SessionConfiguration &Present = Proxy_.configuration();
+  Router_.setAwaitsConfirmation(Present.RequiresKeys &&
+                                !Freshness_.ageOf(Present.Version, Now));
+  if (!Present.RequiresKeys || !Freshness_.isReadDue(Present.Version, Now))
+    return false;
+  Freshness_.onReadBegun(Now);
+  return true;
+}
+
+void SessionEngine::setMember(bool Member, TimePoint Now) {
+  // The list of members is read again before this host has a part of quotas.
+  if (Member && !Member_)
+    ListedMembers_ = 0;
+  Member_ = Member;
+  Router_.setServesDatabases(Member, Now);
+  updateQuotaShares(Now);
+}
+
+void SessionEngine::setMemberCount(std::size_t Members, bool IsNew,
+                                   TimePoint Now) {
+  ListedMembers_ = Members;
+  if (IsNew && !WasAdded_)
+    AddedAsMemberAt_ = Now;
+  WasAdded_ = IsNew;
+  updateQuotaShares(Now);
+}
+
+/// Divides the quotas by the highest number of members that this host or a live
+/// one knows of. An added member takes no part of them before the others count
+/// it, or had the time to.
+void SessionEngine::updateQuotaShares(TimePoint Now) {
+  std::size_t Members = std::max<std::size_t>(1, ListedMembers_);
+  bool Counted = true;
+  for (const auto &[Name, Peer] : Hosts_.peers()) {
+    if (!Hosts_.isListed(Name) || !Hosts_.isLive(Name, Now))
+      continue;
+    Members = std::max<std::size_t>(Members, Peer.Members);
+    Counted &= Peer.Members >= ListedMembers_;
+  }
+  if (AddedAsMemberAt_ &&
+      (Counted || Now - *AddedAsMemberAt_ >= AddedMemberDelay))
+    AddedAsMemberAt_.reset();
+  bool HasPart = Member_ && ListedMembers_ > 0 && !AddedAsMemberAt_;
+  Admission_.ledger().setMembers(HasPart ? Members : 0, Now);
+}
+
+bool SessionEngine::applyConfiguration(SessionConfiguration Configuration,
+                                       TimePoint Now) {
   if (Configuration.Version <= Proxy_.configuration().Version)
     return false;
   for (const auto &[Group, Settings] : Configuration.Groups) {
     Promotions_.setSynchronousReplicas(Group, Settings.SynchronousReplicas);
     Runner_.pool().setCap(Group, Settings.ConnectionCap);
   }
-  Proxy_.applyConfiguration(std::move(Configuration));
+  Admission_.ledger().configure(Configuration.Accounts, Now);
+  Proxy_.applyConfiguration(std::move(Configuration), Now);
   Relayed_.announceConfiguration();
   return true;
 }
@@ -112,11 +220,13 @@
 void SessionEngine::onRelayAnswer(const HostName &Host,
                                   const RelayMessage &Message, TimePoint Now) {
   Router_.onReceived(Host, Message, Now);
+  if (const auto *Grant = std::get_if<QuotaGrant>(&Message))
+    Admission_.onGrant(Host, *Grant, Now);
   const auto *Received = std::get_if<SessionConfiguration>(&Message);
   if (!Received)
     return;
   Router_.onConfigurationReceived();
-  if (!applyConfiguration(*Received))
+  if (!applyConfiguration(*Received, Now))
     return;
   // A later version may be requested without waiting for the interval.
   ConfigurationAskedAt_ = TimePoint{};
@@ -257,6 +367,10 @@
   Message.Leaving = Leaving_;
   Message.ReachesStore = ReachesStore_;
   Message.ConfigurationVersion = Proxy_.configuration().Version;
+  if (Freshness_.isBounded())
+    Message.ConfigurationAge =
+        Freshness_.ageOf(Message.ConfigurationVersion, Now);
+  Message.Members = static_cast<std::uint32_t>(ListedMembers_);
   Message.DatabaseListRevision = ListRevision_;
   Message.SentAt = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -296,6 +410,9 @@
   Runner_.pool().setHosts(Hosts_.connectionHolders(Now));
   if (!SentAfter)
     return;
+  if (Message.ConfigurationAge)
+    Freshness_.confirm(Message.ConfigurationVersion,
+                       *SentAfter - *Message.ConfigurationAge);
   for (const GroupObservation &Seen : Message.Groups) {
     if (!Seen.ConfirmedAge)
       continue;
@@ -331,6 +448,8 @@
     updateDatabaseTable(Now);
   Runner_.pool().setHosts(Hosts_.connectionHolders(Now));
   probeUnresponsiveDatabases(Now);
+  updateQuotaShares(Now);
+  Admission_.tick(Now);
   Runner_.tick(Now);
   Relayed_.tick(Now);
   Router_.tick(Now);
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -1,6 +1,7 @@
 #ifndef NUTMEGLOOM_SESSIONS_SESSIONENGINE_H
 #define NUTMEGLOOM_SESSIONS_SESSIONENGINE_H
 
+#include "sessions/configurationfreshness.h"
 #include "sessions/leadershipcheck.h"
 #include "sessions/promotionsystem.h"
 #include "sessions/relayedsessions.h"
@@ -28,6 +29,9 @@
     /// See StatementRunner::Hooks; optional.
     std::function<void(const StatementPreparation &, TimePoint)>
         StatementPrepared = nullptr;
+    /// An operation was refused because of its account's limit; optional.
+    std::function<void(const AccountName &, Milliseconds RetryAfter)>
+        QuotaRefused = nullptr;
     /// Sends a message to a host that runs statements for this one.
     std::function<void(const HostName &, const RelayMessage &)> AskHost;
     std::function<void(const HostName &)> CloseRelay;
@@ -58,10 +62,28 @@
   const HostTable &hosts() const { return Hosts_; }
   const DatabaseTable &databases() const { return Table_; }
   const LeaderAuthority &authority() const { return Authority_; }
+  const ConfigurationFreshness &freshness() const { return Freshness_; }
+
+  /// Sets the time in which a key that is taken away must be refused. See
+  /// ConfigurationFreshness::setBound.
+  void setKeyRevocationBound(std::optional<Milliseconds> Bound);
+  void setQuotaTolerance(const QuotaTolerance &Tolerance) {
+    Admission_.ledger().setTolerance(Tolerance);
+  }
+  /// The version was the latest one in the store at Moment, or later.
+  void confirmConfiguration(std::uint64_t Version, TimePoint Moment) {
+    Freshness_.confirm(Version, Moment);
+  }
+  /// True if the host should read the configuration from the store. Remembers
+  /// that the read is begun.
+  bool beginDueConfigurationRead(TimePoint Now);
+  /// Sets the number of members in the store's list. IsNew: this host has taken
+  /// a place that did not exist before.
+  void setMemberCount(std::size_t Members, bool IsNew, TimePoint Now);
 
   /// Applies a configuration. Returns false if its version is not higher than
   /// that of the present one.
-  bool applyConfiguration(SessionConfiguration Configuration);
+  bool applyConfiguration(SessionConfiguration Configuration, TimePoint Now);
   /// Asks a live host for its configuration if it has announced a higher
   /// version.
   void askForConfiguration(TimePoint Now);
@@ -100,9 +122,7 @@
   void setReachesStore(bool Reaches, TimePoint Now);
   void setLeaving() { Leaving_ = true; }
   /// Sets whether this host holds connections to databases.
-  void setMember(bool Member, TimePoint Now) {
-    Router_.setServesDatabases(Member, Now);
-  }
+  void setMember(bool Member, TimePoint Now);
   std::uint64_t databaseListRevision() const { return ListRevision_; }
   void tick(TimePoint Now);
 
@@ -115,6 +135,11 @@
   void onConfigurationSeen(const HostName &Host, std::uint64_t Version,
                            TimePoint Now);
   void updateDatabaseTable(TimePoint Now);
+  QuotaAdmission::Hooks admissionHooks();
+  void refuseBeyondQuota(const StatementWork &Work, Milliseconds RetryAfter,
+                         TimePoint Now);
+  std::vector<std::vector<HostName>> membersToAsk(TimePoint Now) const;
+  void updateQuotaShares(TimePoint Now);
   void probeUnresponsiveDatabases(TimePoint Now);
 
   ListedHost Location_;
@@ -122,7 +147,9 @@
   DatabaseTable Table_;
   LeaderAuthority Authority_;
   HostTable Hosts_;
+  ConfigurationFreshness Freshness_;
   StatementRunner Runner_;
+  QuotaAdmission Admission_;
   RelayedSessions Relayed_;
   StatementRouter Router_;
   SessionProxy Proxy_;
@@ -135,6 +162,12 @@
   std::uint64_t ListRevision_ = 0;
   TimePoint ConfigurationAskedAt_;
   bool Leaving_ = false;
+  bool Member_ = false;
+  std::size_t ListedMembers_ = 0;
+  /// When this host took a place among the members that did not exist before;
+  /// the others may not divide the quotas by the new number yet.
+  std::optional<TimePoint> AddedAsMemberAt_;
+  bool WasAdded_ = false;
   bool ReachesStore_ = true;
   std::optional<TimePoint> StoreReachedSince_;
 };
--- a/packages/sessions/sessionproxy.cpp
+++ b/packages/sessions/sessionproxy.cpp
@@ -1,36 +1,103 @@
 #include "sessions/sessionproxy.h"
 
 #include <algorithm>
+#include <array>
 
 namespace nutmegloom {
 
 namespace {
 
+constexpr std::array<std::string_view, 4> KeyCheckNames{
+    "valid", "unknown_key", "withdrawn_key", "unconfirmed_configuration"};
+/// Time in which a host that is cut off from the store is usually back.
+constexpr Milliseconds UnconfirmedRetry{1000};
+
 /// Time for a statement to arrive that its caller sent when the session was
 /// opened or answered. A write on a connection that is closed meanwhile could
 /// not be repeated by its caller.
 constexpr Milliseconds IdleCloseDelay{200};
 
+/// True for a verb that runs at a database, now or with a later statement.
+bool mayNeedDatabase(StatementVerb Verb) {
+  switch (Verb) {
+  case StatementVerb::Begin:
+  case StatementVerb::BeginRead:
+  case StatementVerb::Commit:
+  case StatementVerb::Read:
+  case StatementVerb::Write:
+  case StatementVerb::Execute:
+    return true;
+  default:
+    return false;
+  }
+}
+
 } // namespace
 
-SessionProxy::SessionProxy(StatementRouter &Router, Hooks Callbacks)
-    : Router_(Router), Hooks_(std::move(Callbacks)) {}
+std::string_view nameOf(KeyCheck Check) {
+  return KeyCheckNames[static_cast<std::size_t>(Check)];
+}
+
+SessionProxy::SessionProxy(StatementRouter &Router,
+                           const ConfigurationFreshness &Freshness,
+                           Hooks Callbacks)
+    : Router_(Router), Freshness_(Freshness), Hooks_(std::move(Callbacks)) {}
 
-void SessionProxy::applyConfiguration(SessionConfiguration Configuration) {
+void SessionProxy::applyConfiguration(SessionConfiguration Configuration,
+                                      TimePoint Now) {
   if (Configuration.Version <= Configuration_.Version)
     return;
   Configuration_ = std::move(Configuration);
+  Accounts_ = AccountDirectory(Configuration_.Accounts);
+  for (auto &[Id, Held] : Sessions_) {
+    if (Held.Current || !Held.Pinned ||
+        checkKey(Held, Now) != KeyCheck::WithdrawnKey)
+      continue;
+    Router_.rollBack(*Held.Pinned, Now);
+    Held.Pinned.reset();
+    Held.Lost = true;
+  }
+}
+
+bool SessionProxy::needsKey(const SessionRoute *Route) const {
+  return Configuration_.RequiresKeys && !(Route && Route->Public);
+}
+
+AccountName SessionProxy::accountOf(const KeyDigest &Key) const {
+  const AccountName *Account =
+      Configuration_.RequiresKeys ? Accounts_.accountOf(Key) : nullptr;
+  return Account ? *Account : AccountName();
 }
 
 SessionProxy::OpenResult SessionProxy::open(CallerSessionId Id,
                                             const std::string &Database,
+                                            const KeyDigest &Key,
                                             TimePoint Now) {
   if (Configuration_.Version == 0)
     return OpenResult::NotConfigured;
-  if (!Configuration_.Routes.contains(Database))
+  auto Route = Configuration_.Routes.find(Database);
+  bool IsKnown = Route != Configuration_.Routes.end();
+  AccountName Account = accountOf(Key);
+  if (needsKey(IsKnown ? &Route->second : nullptr)) {
+    std::uint64_t Version = Configuration_.Version;
+    if (!Freshness_.mayAcceptKeys(Version, Now)) {
+      if (!Freshness_.ageOf(Version, Now))
+        return OpenResult::NotConfigured;
+      reportKeyRefusal(KeyCheck::UnconfirmedConfiguration, Key, Account,
+                       Database, Now);
+      return OpenResult::UnconfirmedConfiguration;
+    }
+    if (Account.empty()) {
+      reportKeyRefusal(KeyCheck::UnknownKey, Key, Account, Database, Now);
+      return OpenResult::UnknownKey;
+    }
+  }
+  if (!IsKnown)
     return OpenResult::UnknownDatabase;
   Session &Opened = Sessions_[Id];
   Opened.Database = Database;
+  Opened.Key = Key;
+  Opened.Account = std::move(Account);
   Opened.IdleSince = Now;
   return OpenResult::Accepted;
 }
@@ -49,6 +116,59 @@
   return Found == Configuration_.Routes.end() ? nullptr : &Found->second;
 }
 
+KeyCheck SessionProxy::checkKey(Session &Held, TimePoint Now) const {
+  AccountName Account = accountOf(Held.Key);
+  if (needsKey(routeOf(Held))) {
+    if (!Freshness_.mayAcceptKeys(Configuration_.Version, Now))
+      return KeyCheck::UnconfirmedConfiguration;
+    if (Account.empty())
+      return KeyCheck::WithdrawnKey;
+  }
+  // The connection of an open transaction belongs to the former account.
+  if (Account != Held.Account && Held.State != TransactionStatus::Idle)
+    return KeyCheck::WithdrawnKey;
+  Held.Account = std::move(Account);
+  return KeyCheck::Valid;
+}
+
+/// Nothing of the statement has run, and its transaction is rolled back.
+void SessionProxy::refuseForKey(CallerSessionId Id, Session &Held,
+                                KeyCheck Reason, TimePoint Now) {
+  reportKeyRefusal(Reason, Held.Key, Held.Account, Held.Database, Now);
+  bool WasIdle = Held.State == TransactionStatus::Idle;
+  bool Commits = Held.Current->Verb == StatementVerb::Commit;
+  if (Held.Pinned)
+    Router_.rollBack(*Held.Pinned, Now);
+  endTransaction(Held);
+  if (Reason == KeyCheck::WithdrawnKey) {
+    answerLocally(Id, Held, StatementCode::Denied,
+                  "the API key was withdrawn, not run", Now);
+    Hooks_.CloseSession(Id);
+    return;
+  }
+  if (!WasIdle && !Commits)
+    Held.State = TransactionStatus::Failed;
+  answerLocally(
+      Id, Held, WasIdle ? StatementCode::Busy : StatementCode::Aborted,
+      "this host can't confirm API keys now, not run", Now, UnconfirmedRetry);
+}
+
+void SessionProxy::reportKeyRefusal(KeyCheck Reason, const KeyDigest &Key,
+                                    const AccountName &Account,
+                                    const std::string &Route,
+                                    TimePoint Now) const {
+  if (!Hooks_.KeyRefused)
+    return;
+  KeyRefusal Report;
+  Report.Reason = Reason;
+  Report.Key = shortNameOf(Key);
+  Report.Account = Account;
+  Report.Route = Route;
+  Report.ConfigurationVersion = Configuration_.Version;
+  Report.ConfigurationAge = Freshness_.ageOf(Configuration_.Version, Now);
+  Hooks_.KeyRefused(Report);
+}
+
 void SessionProxy::onStatement(CallerSessionId Id, CallerStatement Statement,
                                TimePoint Now) {
   auto Found = Sessions_.find(Id);
@@ -58,6 +178,12 @@
   Held.Current = std::move(Statement);
   Held.ReceivedAt = Now;
   StatementVerb Verb = Held.Current->Verb;
+  KeyCheck Key = checkKey(Held, Now);
+  if (Key == KeyCheck::WithdrawnKey ||
+      (Key == KeyCheck::UnconfirmedConfiguration && mayNeedDatabase(Verb))) {
+    refuseForKey(Id, Held, Key, Now);
+    return;
+  }
   if (Held.State == TransactionStatus::Failed &&
       Verb != StatementVerb::Rollback && Verb != StatementVerb::Commit) {
     answerLocally(Id, Held, StatementCode::Malformed,
@@ -212,6 +338,9 @@
   StatementWork Work;
   Work.Session = Id;
   Work.Group = Held.Route.Group;
+  Work.Account = Held.Account;
+  if (Configuration_.RequiresKeys)
+    Work.ConfigurationVersion = Configuration_.Version;
   Work.Command.Id = Statement.Id;
   Work.Command.Text = Statement.Text;
   if (Shape) {
@@ -279,11 +408,13 @@
 
 void SessionProxy::answerLocally(CallerSessionId Id, Session &Held,
                                  StatementCode Code, std::string Detail,
-                                 TimePoint Now) {
+                                 TimePoint Now, Milliseconds RetryAfter) {
   StatementAnswer Answer;
   Answer.Code = Code;
   Answer.Detail = std::move(Detail);
-  complete(Id, Held, std::move(Answer), StatementResult{}, Now);
+  StatementResult Result;
+  Result.RetryAfter = RetryAfter;
+  complete(Id, Held, std::move(Answer), Result, Now);
 }
 
 void SessionProxy::complete(CallerSessionId Id, Session &Held,
@@ -297,6 +428,7 @@
   Report.StatementId = Held.Current->Id;
   Report.Verb = Held.Current->Verb;
   Report.Route = Held.Database;
+  Report.Account = Held.Account;
   Report.Group = Held.Route.Group;
   Report.Mode = Held.Route.Mode;
   Report.MinimumPosition = Result.MinimumPosition;
--- a/packages/sessions/sessionproxy.h
+++ b/packages/sessions/sessionproxy.h
@@ -1,15 +1,46 @@
 #ifndef NUTMEGLOOM_SESSIONS_SESSIONPROXY_H
 #define NUTMEGLOOM_SESSIONS_SESSIONPROXY_H
 
+#include "sessions/accounts.h"
+#include "sessions/configurationfreshness.h"
 #include "sessions/statementrouter.h"
 
 namespace nutmegloom {
 
+/// Whether a session's API key allows it to run statements.
+enum class KeyCheck {
+  Valid,
+  /// No account holds the key.
+  UnknownKey,
+  /// The account that held the key when the session was opened does not hold it
+  /// any more.
+  WithdrawnKey,
+  /// This host can't tell whether the key was taken away: its configuration has
+  /// not been confirmed for too long.
+  UnconfirmedConfiguration,
+};
+std::string_view nameOf(KeyCheck Check);
+
+/// A session or a statement that was refused because of its key, for logs and
+/// metrics.
+struct KeyRefusal {
+  KeyCheck Reason = KeyCheck::Valid;
+  /// Short name of the key. Logs must not contain keys.
+  std::string Key;
+  /// Account that held the key; empty: none is known.
+  AccountName Account;
+  std::string_view Route;
+  std::uint64_t ConfigurationVersion = 0;
+  /// Time since the configuration was last known to be the latest one.
+  std::optional<Milliseconds> ConfigurationAge;
+};
+
 /// Outcome of a statement, for logs and metrics.
 struct StatementReport {
   std::string_view StatementId;
   StatementVerb Verb = StatementVerb::Unreadable;
   std::string_view Route;
+  std::string_view Account;
   std::string_view Group;
   ConsistencyMode Mode = ConsistencyMode::Primary;
   StatementCode Code = StatementCode::Done;
@@ -35,16 +66,28 @@
     std::function<void(CallerSessionId, const StatementAnswer &)> Answer;
     std::function<void(CallerSessionId)> CloseSession;
     std::function<void(const StatementReport &)> Report;
+    /// Optional.
+    std::function<void(const KeyRefusal &)> KeyRefused = nullptr;
   };
 
-  SessionProxy(StatementRouter &Router, Hooks Callbacks);
+  SessionProxy(StatementRouter &Router, const ConfigurationFreshness &Freshness,
+               Hooks Callbacks);
 
-  void applyConfiguration(SessionConfiguration Configuration);
+  /// Applies a configuration. Open transactions of sessions whose key it takes
+  /// away are rolled back.
+  void applyConfiguration(SessionConfiguration Configuration, TimePoint Now);
   const SessionConfiguration &configuration() const { return Configuration_; }
 
-  enum class OpenResult { Accepted, UnknownDatabase, NotConfigured };
+  enum class OpenResult {
+    Accepted,
+    UnknownDatabase,
+    /// There is no configuration, or none that was ever confirmed.
+    NotConfigured,
+    UnknownKey,
+    UnconfirmedConfiguration,
+  };
   OpenResult open(CallerSessionId Session, const std::string &Database,
-                  TimePoint Now);
+                  const KeyDigest &Key, TimePoint Now);
   void close(CallerSessionId Session, TimePoint Now);
   /// Handles a statement. The session must have answered all earlier ones.
   void onStatement(CallerSessionId Session, CallerStatement Statement,
@@ -69,6 +112,10 @@
 private:
   struct Session {
     std::string Database;
+    KeyDigest Key{};
+    /// Account that holds the key; empty: none, on a public route or if keys
+    /// are not required.
+    AccountName Account;
     TransactionStatus State = TransactionStatus::Idle;
     SessionVariables Variables;
     std::map<std::string, PreparedShape> Prepared;
@@ -87,8 +134,19 @@
     bool Lost = false;
   };
 
+  bool needsKey(const SessionRoute *Route) const;
+  AccountName accountOf(const KeyDigest &Key) const;
+  /// Checks the session's key by the present configuration. A session that has
+  /// no transaction open follows a key that another account holds now.
+  KeyCheck checkKey(Session &Held, TimePoint Now) const;
+  void refuseForKey(CallerSessionId Id, Session &Held, KeyCheck Reason,
+                    TimePoint Now);
+  void reportKeyRefusal(KeyCheck Reason, const KeyDigest &Key,
+                        const AccountName &Account, const std::string &Route,
+                        TimePoint Now) const;
   void answerLocally(CallerSessionId Id, Session &Held, StatementCode Code,
-                     std::string Detail, TimePoint Now);
+                     std::string Detail, TimePoint Now,
+                     Milliseconds RetryAfter = Milliseconds{0});
   void complete(CallerSessionId Id, Session &Held, StatementAnswer Answer,
                 const StatementResult &Result, TimePoint Now);
   void begin(CallerSessionId Id, Session &Held, TimePoint Now);
@@ -102,8 +160,10 @@
   const SessionRoute *routeOf(const Session &Held) const;
 
   StatementRouter &Router_;
+  const ConfigurationFreshness &Freshness_;
   Hooks Hooks_;
   SessionConfiguration Configuration_;
+  AccountDirectory Accounts_;
   std::map<CallerSessionId, Session> Sessions_;
   bool Draining_ = false;
 };
--- a/packages/sessions/sessiontypes.cpp
+++ b/packages/sessions/sessiontypes.cpp
@@ -10,10 +10,10 @@
     "begin", "begin_read", "commit",  "rollback",   "read",      "write",
     "set",   "prepare",    "execute", "deallocate", "unreadable"};
 
-constexpr std::array<std::string_view, 13> StatementCodeNames{
+constexpr std::array<std::string_view, 14> StatementCodeNames{
     "done",           "busy",       "aborted",      "behind",      "read_only",
     "wrong_database", "overloaded", "unknown_name", "no_database", "malformed",
-    "failed",         "timed_out",  "in_doubt"};
+    "failed",         "timed_out",  "in_doubt",     "denied"};
 
 constexpr std::array<std::string_view, 11> CommandVerbNames{
     "forward", "begin",  "begin_read", "rollback", "set",   "prepare",
--- a/packages/sessions/sessiontypes.h
+++ b/packages/sessions/sessiontypes.h
@@ -3,13 +3,21 @@
 
 #include "core/types.h"
 
+#include <array>
 #include <map>
+#include <set>
 
 namespace nutmegloom {
 
 /// Identifies a caller's connection inside one process. Never reused.
 using CallerSessionId = std::uint64_t;
 
+/// Name of a client account, which databases are told. Empty: a session without
+/// an account.
+using AccountName = std::string;
+/// SHA-256 digest of an API key.
+using KeyDigest = std::array<std::uint8_t, 32>;
+
 /// Kind of a caller's statement.
 enum class StatementVerb {
   Begin,
@@ -69,6 +77,8 @@
   TimedOut,
   /// Whether the statement took effect is unknown.
   InDoubt,
+  /// No account holds the caller's API key, or not any more; not run.
+  Denied,
 };
 std::string_view nameOf(StatementCode Code);
 
@@ -169,9 +179,36 @@
   /// 0 is the highest.
   std::uint32_t Priority = 0;
   Milliseconds MaximumAge{0};
+  /// Sessions need no API key.
+  bool Public = false;
   bool operator==(const SessionRoute &) const = default;
 };
 
+/// Rate limit of a client account over all hosts. An operation is a statement
+/// or a transaction.
+struct AccountQuota {
+  double OperationsPerSecond = 0;
+  double Burst = 0;
+  bool operator==(const AccountQuota &) const = default;
+};
+
+/// How far an account's limit may be exceeded within any window of time: by a
+/// fraction of what the limit allows, and by a number of operations.
+struct QuotaTolerance {
+  Milliseconds Window{0};
+  double Fraction = 0;
+  double Operations = 0;
+};
+
+/// A client account and the API keys that it holds.
+struct AccountSettings {
+  AccountName Account;
+  std::set<KeyDigest> Keys;
+  /// Nothing: not limited.
+  std::optional<AccountQuota> Quota;
+  bool operator==(const AccountSettings &) const = default;
+};
+
 struct GroupSettings {
   GroupId Group;
   std::uint32_t ConnectionCap = 0;
@@ -184,6 +221,9 @@
   std::uint64_t Version = 0;
   std::map<std::string, SessionRoute> Routes;
   std::map<GroupId, GroupSettings> Groups;
+  /// Sessions need an API key, unless their route is public.
+  bool RequiresKeys = false;
+  std::map<AccountName, AccountSettings> Accounts;
   Milliseconds TransactionIdleTimeout{3000};
 };
 
--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -32,6 +32,12 @@
 /// How long no new statements are relayed to a host that is stopping: the
 /// longest time that stopping takes.
 constexpr Milliseconds LeavingAvoidance{6000};
+/// Interval of pings that ask a member for the age of its configuration, beside
+/// those that check a connection.
+constexpr Milliseconds ConfirmationInterval{800};
+constexpr Milliseconds FirstConfirmationInterval{50};
+/// Unanswered pings that are remembered for each host.
+constexpr std::size_t MaximumPings = 16;
 
 ConnectionId remotePin(CallerSessionId Session) { return RemoteBit | Session; }
 
@@ -45,11 +51,12 @@
 } // namespace
 
 StatementRouter::StatementRouter(StatementRunner &Runner,
+                                 QuotaAdmission &Admission,
                                  const DatabaseTable &Table,
                                  const LeaderAuthority &Authority,
                                  const HostTable &Hosts, Hooks Callbacks)
-    : Runner_(Runner), Table_(Table), Authority_(Authority), Hosts_(Hosts),
-      Hooks_(std::move(Callbacks)) {}
+    : Runner_(Runner), Admission_(Admission), Table_(Table),
+      Authority_(Authority), Hosts_(Hosts), Hooks_(std::move(Callbacks)) {}
 
 void StatementRouter::setLocation(ZoneName Zone, RegionName Region) {
   Zone_ = std::move(Zone);
@@ -74,11 +81,21 @@
   if (std::optional<HostName> Host = hostFor(Work, Now))
     relay(std::move(Work), *Host, Tries, Now);
   else if (ServesDatabases_)
-    Runner_.submit(std::move(Work), Now);
+    Admission_.submit(std::move(Work), Now);
   else
     refuse(Work, Now);
 }
 
+void StatementRouter::onAdmitted(StatementWork Work, TimePoint Now) {
+  std::optional<HostName> Host;
+  if (!Runner_.hasCandidateFor(Work, Now))
+    Host = hostReachingLeader(Work.Group, Now);
+  if (Host)
+    relay(std::move(Work), *Host, 1, Now);
+  else
+    Runner_.submit(std::move(Work), Now);
+}
+
 void StatementRouter::setServesDatabases(bool Serves, TimePoint Now) {
   ServesDatabases_ = Serves;
   if (Serves)
@@ -91,11 +108,32 @@
 
 std::optional<HostName> StatementRouter::hostFor(const StatementWork &Work,
                                                  TimePoint Now) const {
-  if (!ServesDatabases_)
+  if (!Work.Account.empty() && !Work.Admitted)
+    return memberFor(Work.Account, Now);
+  return ServesDatabases_ ? std::nullopt : nearestMember(Now);
+}
+
+/// Statements of an account run at one member of each region, as a connection
+/// to a database serves one account only. A member's loss moves its accounts
+/// and no others. Returns nothing if that member is this host. Members send
+/// messages to members only, so a relaying host learns of a lost one by its
+/// connection.
+std::optional<HostName> StatementRouter::memberFor(const AccountName &Account,
+                                                   TimePoint Now) const {
+  std::vector<HostName> Members;
+  for (const auto &[Name, Peer] : Hosts_.peers())
+    if (Peer.Region == Region_ && Hosts_.isMember(Name, Now) &&
+        (!ServesDatabases_ || Hosts_.isLive(Name, Now)) && !Peer.Leaving &&
+        !isAvoided(Name, Now))
+      Members.push_back(Name);
+  if (ServesDatabases_)
+    Members.push_back(Hosts_.self());
+  if (Members.empty())
     return nearestMember(Now);
-  if (Runner_.hasCandidateFor(Work, Now))
+  HostName Chosen = rankHosts(Account, Members).front();
+  if (Chosen == Hosts_.self())
     return std::nullopt;
-  return hostReachingLeader(Work.Group, Now);
+  return Chosen;
 }
 
 bool StatementRouter::isAvoided(const HostName &Host, TimePoint Now) const {
@@ -196,6 +234,7 @@
 void StatementRouter::cancel(CallerSessionId Session,
                              std::optional<ConnectionId> Pinned,
                              TimePoint Now) {
+  Admission_.cancel(Session);
   auto Work = RelayedStatements_.find(Session);
   auto Open = Transactions_.find(Session);
   if (Work == RelayedStatements_.end() && Open == Transactions_.end()) {
@@ -228,6 +267,15 @@
 
 void StatementRouter::onPong(const HostName &Host, Health &Known,
                              const RelayPong &Message, TimePoint Now) {
+  // The other host's age is from a time after the ping was sent.
+  auto Answered = Known.Pings.find(Message.PingNumber);
+  if (Answered != Known.Pings.end()) {
+    if (Message.ConfigurationAge)
+      Hooks_.ConfigurationConfirmed(Message.ConfigurationVersion,
+                                    Answered->second -
+                                        *Message.ConfigurationAge);
+    Known.Pings.erase(Known.Pings.begin(), std::next(Answered));
+  }
   Hooks_.ConfigurationSeen(Host, Message.ConfigurationVersion, Now);
   if (Message.Leaving)
     Known.AvoidUntil = Now + LeavingAvoidance;
@@ -284,6 +332,7 @@
     Known.LostAt = Now;
   Known.Lost = true;
   Known.AwaitsAnswer = false;
+  Known.Pings.clear();
   std::vector<CallerSessionId> Idle;
   for (const auto &[Session, At] : Transactions_)
     if (At == Host && !RelayedStatements_.contains(Session))
@@ -348,8 +397,13 @@
 void StatementRouter::checkLinks(TimePoint Now) {
   std::map<HostName, Milliseconds> Needed;
   if (!ServesDatabases_)
-    if (std::optional<HostName> Nearest = nearestMember(Now))
+    if (std::optional<HostName> Nearest = nearestMember(Now)) {
       Needed[*Nearest] = IdlePingInterval;
+      Milliseconds Interval = AwaitsConfirmation_ ? FirstConfirmationInterval
+                                                  : ConfirmationInterval;
+      if (ConfirmsConfiguration_ && Now - ConfirmationAskedAt_ >= Interval)
+        ping(*Nearest, Health_[*Nearest], Now);
+    }
   for (const auto &[Host, Known] : Health_) {
     if (dependsOn(Host))
       Needed[Host] = BusyPingInterval;
@@ -368,9 +422,7 @@
     }
     if (Known.AwaitsAnswer || Now - ActiveAt < Interval)
       continue;
-    Known.AwaitsAnswer = true;
-    Known.PingedAt = Now;
-    Hooks_.Send(Host, RelayPing{});
+    ping(Host, Known, Now);
   }
   for (const HostName &Host : Unresponsive) {
     Hooks_.Close(Host);
@@ -378,6 +430,20 @@
   }
 }
 
+void StatementRouter::ping(const HostName &Host, Health &Known, TimePoint Now) {
+  Known.AwaitsAnswer = true;
+  Known.PingedAt = Now;
+  RelayPing Message;
+  if (ConfirmsConfiguration_) {
+    ConfirmationAskedAt_ = Now;
+    Message.Number = ++LastPing_;
+    Known.Pings[Message.Number] = Now;
+    if (Known.Pings.size() > MaximumPings)
+      Known.Pings.erase(Known.Pings.begin());
+  }
+  Hooks_.Send(Host, Message);
+}
+
 std::optional<Milliseconds>
 StatementRouter::unreachableFor(const HostName &Host, TimePoint Now) const {
   auto Found = Health_.find(Host);
@@ -416,6 +482,7 @@
     Unanswered.push_back(Task);
   for (const Relayed &Task : Unanswered)
     expire(Task, Now);
+  Admission_.refuseAll(Now);
   Runner_.endStatements(Now);
 }
 
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -2,6 +2,7 @@
 #define NUTMEGLOOM_SESSIONS_STATEMENTROUTER_H
 
 #include "sessions/hosttable.h"
+#include "sessions/quotaadmission.h"
 #include "sessions/relaymessages.h"
 #include "sessions/statementrunner.h"
 
@@ -28,11 +29,24 @@
     /// Another host uses the configuration of this version.
     std::function<void(const HostName &, std::uint64_t Version, TimePoint)>
         ConfigurationSeen;
+    /// The version was the latest one at Moment or later, by another host's
+    /// answer to a ping.
+    std::function<void(std::uint64_t Version, TimePoint Moment)>
+        ConfigurationConfirmed;
   };
 
-  StatementRouter(StatementRunner &Runner, const DatabaseTable &Table,
-                  const LeaderAuthority &Authority, const HostTable &Hosts,
-                  Hooks Callbacks);
+  StatementRouter(StatementRunner &Runner, QuotaAdmission &Admission,
+                  const DatabaseTable &Table, const LeaderAuthority &Authority,
+                  const HostTable &Hosts, Hooks Callbacks);
+
+  /// Sets whether pings ask since when the other host knows its configuration
+  /// to be the latest one.
+  void setConfirmsConfiguration(bool Confirms) {
+    ConfirmsConfiguration_ = Confirms;
+  }
+  /// Sets whether the present configuration has never been confirmed, so that
+  /// pings are urgent.
+  void setAwaitsConfirmation(bool Awaits) { AwaitsConfirmation_ = Awaits; }
 
   void setLocation(ZoneName Zone, RegionName Region);
   /// Sets whether this host holds connections to databases itself, which is the
@@ -42,6 +56,8 @@
 
   /// Starts a statement. The session must have no other statement in progress.
   void submit(StatementWork Work, TimePoint Now);
+  /// Runs a statement of this host's sessions that the admission has let pass.
+  void onAdmitted(StatementWork Work, TimePoint Now);
   /// Cancels the session's statement and rolls back its open transaction, after
   /// the session was closed. Pinned: connection of the open transaction.
   void cancel(CallerSessionId Session, std::optional<ConnectionId> Pinned,
@@ -97,13 +113,17 @@
     TimePoint HeardAt;
     TimePoint PingedAt;
     bool AwaitsAnswer = false;
+    /// Numbers of unanswered pings, and when they were sent.
+    std::map<std::uint64_t, TimePoint> Pings;
   };
 
-  /// The host to which the statement is to be relayed; nothing: this host runs
-  /// it.
+  /// The member to which the statement is to be relayed; nothing: this host
+  /// runs it, if it is a member.
   std::optional<HostName> hostFor(const StatementWork &Work,
                                   TimePoint Now) const;
   std::optional<HostName> nearestMember(TimePoint Now) const;
+  std::optional<HostName> memberFor(const AccountName &Account,
+                                    TimePoint Now) const;
   std::optional<HostName> hostReachingLeader(const GroupId &Group,
                                              TimePoint Now) const;
   bool isAvoided(const HostName &Host, TimePoint Now) const;
@@ -124,11 +144,13 @@
   /// this host.
   bool dependsOn(const HostName &Host) const;
   void checkLinks(TimePoint Now);
+  void ping(const HostName &Host, Health &Known, TimePoint Now);
   void expireOverdue(TimePoint Now);
   /// Ends a relayed statement that is not answered in time.
   void expire(const Relayed &Task, TimePoint Now);
 
   StatementRunner &Runner_;
+  QuotaAdmission &Admission_;
   const DatabaseTable &Table_;
   const LeaderAuthority &Authority_;
   const HostTable &Hosts_;
@@ -136,6 +158,11 @@
   ZoneName Zone_;
   RegionName Region_;
   bool ServesDatabases_ = true;
+  bool ConfirmsConfiguration_ = false;
+  bool AwaitsConfirmation_ = false;
+  /// When a member was last asked for the age of its configuration.
+  TimePoint ConfirmationAskedAt_;
+  std::uint64_t LastPing_ = 0;
   std::uint64_t LastNumber_ = 0;
   /// Statements in progress at other hosts, by session.
   std::map<CallerSessionId, Relayed> RelayedStatements_;
--- a/packages/sessions/statementrunner.cpp
+++ b/packages/sessions/statementrunner.cpp
@@ -26,6 +26,9 @@
 /// A statement is queued only if it is expected to be answered before this
 /// fraction of its time is left, since service times vary.
 constexpr int QueueMargin = 4;
+/// Cost of opening a connection for an account in place of using one that it
+/// has: a slot of the database is occupied meanwhile.
+constexpr double OpeningCostMilliseconds = 20;
 
 bool hasNotRun(StatementCode Code) {
   switch (Code) {
@@ -240,29 +243,55 @@
   return Withdrawn;
 }
 
+bool StatementRunner::areConnectionsOpening(
+    const Progress &Task, const std::vector<PlacementCandidate> &Candidates,
+    TimePoint Now) const {
+  const AccountName &Account = Task.Work.Account;
+  if (Account.empty())
+    return false;
+  std::size_t Opening = 0;
+  for (const PlacementCandidate &Candidate : Candidates)
+    Opening += Pool_.openingFor(Candidate.Database, Account, Now);
+  if (Opening == 0)
+    return false;
+  std::size_t Waiting = 0;
+  bool Queued = false;
+  for (CallerSessionId Session : Queue_.waitingFor(Task.Work.Group)) {
+    auto Other = Statements_.find(Session);
+    if (Other == Statements_.end() || Other->second.Work.Account != Account)
+      continue;
+    ++Waiting;
+    Queued |= Session == Task.Work.Session;
+  }
+  return Opening >= Waiting + (Queued ? 0 : 1);
+}
+
 bool StatementRunner::tryStart(Progress &Task, TimePoint Now) {
   const PlacementCandidate *Best = nullptr;
   const PlacementCandidate *ToOpen = nullptr;
+  const AccountName &Account = Task.Work.Account;
   std::vector<PlacementCandidate> Candidates =
       candidatesFor(Task.Work, Task.Avoided, Now);
+  bool MayOpen = !areConnectionsOpening(Task, Candidates, Now);
   for (const PlacementCandidate &Candidate : Candidates) {
-    bool Idle = Pool_.hasIdle(Candidate.Database);
+    bool Idle = Pool_.hasIdle(Candidate.Database, Account);
     const PlacementCandidate *&Slot = Idle ? Best : ToOpen;
     if (!Idle) {
       bool Urgent = Now - Task.Work.ReceivedAt > UrgentWait;
-      if (!Pool_.mayOpen(Candidate.Database, Urgent, Now))
+      if (!MayOpen || !Pool_.mayOpen(Candidate.Database, Account, Urgent, Now))
         continue;
     }
     if (!Slot || Placement_.costOf(Candidate) < Placement_.costOf(*Slot))
       Slot = &Candidate;
   }
-  if (ToOpen &&
-      (!Best || Placement_.costOf(*ToOpen) < Placement_.costOf(*Best)))
-    Pool_.open(ToOpen->Database, Now);
+  double OpeningCost = Account.empty() ? 0 : OpeningCostMilliseconds;
+  if (ToOpen && (!Best || Placement_.costOf(*ToOpen) + OpeningCost <
+                              Placement_.costOf(*Best)))
+    Pool_.open(ToOpen->Database, Account, Now);
   if (!Best)
     return false;
   std::optional<ConnectionId> Connection =
-      Pool_.take(Best->Database, Task.Work.Variables);
+      Pool_.take(Best->Database, Account, Task.Work.Variables);
   if (!Connection)
     return false;
   startOn(Task, *Connection, *Best, Now);
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -140,6 +140,11 @@
   /// opens a connection to a better one. Returns false if the statement must
   /// wait.
   bool tryStart(Progress &Task, TimePoint Now);
+  /// True if enough connections for the statement's account are being opened
+  /// for it and for those that wait with it.
+  bool areConnectionsOpening(const Progress &Task,
+                             const std::vector<PlacementCandidate> &Candidates,
+                             TimePoint Now) const;
   void startOn(Progress &Task, ConnectionId Connection,
                const PlacementCandidate &Where, TimePoint Now);
   void forward(Progress &Task, TimePoint Now);
--- a/packages/sessions/statementwork.h
+++ b/packages/sessions/statementwork.h
@@ -9,6 +9,14 @@
 struct StatementWork {
   CallerSessionId Session = 0;
   GroupId Group;
+  /// Client account of the session, whose connections the statement uses.
+  AccountName Account;
+  /// Version of the configuration by which the session's key was checked; zero:
+  /// it needs none.
+  std::uint64_t ConfigurationVersion = 0;
+  /// The operation that the statement belongs to was counted against the
+  /// account's limit.
+  bool Admitted = false;
   /// The caller's statement as it is sent to the database. The name of a
   /// prepared statement depends on the connection and is not set here.
   DatabaseCommand Command;
--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -42,7 +42,7 @@
   LogOutput Output_;
 };
 
-constexpr std::array<LogEventEntry, 34> Events{{
+constexpr std::array<LogEventEntry, 37> Events{{
     {LogEvent::HostStarted, LogLevel::Info, "host_started",
      "the host has started"},
     {LogEvent::HostReady, LogLevel::Info, "host_ready",
@@ -111,6 +111,12 @@
      "this host holds connections to databases, or relays statements"},
     {LogEvent::StatementPrepared, LogLevel::Info, "statement_prepared",
      "a statement was prepared on a database connection"},
+    {LogEvent::KeyRefused, LogLevel::Info, "key_refused",
+     "a session or a statement was refused because of its API key"},
+    {LogEvent::QuotaExceeded, LogLevel::Info, "quota_exceeded",
+     "an operation was refused because of its account's rate limit"},
+    {LogEvent::AccountLeftOut, LogLevel::Warning, "account_left_out",
+     "a client account of the configuration is not valid and was left out"},
 }};
 
 /// Limit for a text in a line. Ids and names are chosen by callers.
--- a/packages/telemetry/sessionlog.cpp
+++ b/packages/telemetry/sessionlog.cpp
@@ -23,6 +23,7 @@
            {{"request", Report.StatementId},
             {"statement", nameOf(Report.Verb)},
             {"route", Report.Route},
+            {"account", Report.Account},
             {"group", Report.Group},
             {"mode", nameOf(Report.Mode)},
             {"code", nameOf(Report.Code)},
@@ -65,6 +66,34 @@
        {"shape_bytes", static_cast<std::int64_t>(Preparation.Shape.size())}});
 }
 
+void SessionLog::onKeyRefused(const KeyRefusal &Refusal, TimePoint Now) {
+  Metrics_.countKeyRefusal(nameOf(Refusal.Reason));
+  if (!RefusalLimit_.tryAcquire(Now))
+    return;
+  reportSuppressed(RefusalLimit_, Now);
+  logEvent(LogEvent::KeyRefused,
+           {{"reason", nameOf(Refusal.Reason)},
+            {"key", Refusal.Key},
+            {"account", Refusal.Account},
+            {"route", Refusal.Route},
+            {"config", static_cast<std::int64_t>(Refusal.ConfigurationVersion)},
+            {"config_age_ms",
+             Refusal.ConfigurationAge
+                 ? static_cast<std::int64_t>(Refusal.ConfigurationAge->count())
+                 : std::int64_t{-1}}});
+}
+
+void SessionLog::onQuotaRefused(const AccountName &Account,
+                                Milliseconds RetryAfter, TimePoint Now) {
+  Metrics_.countQuotaRefusal();
+  if (!RefusalLimit_.tryAcquire(Now))
+    return;
+  reportSuppressed(RefusalLimit_, Now);
+  logEvent(LogEvent::QuotaExceeded,
+           {{"account", Account},
+            {"retry_after_ms", static_cast<std::int64_t>(RetryAfter.count())}});
+}
+
 void SessionLog::onPromotion(const PromotionReport &Report) {
   Metrics_.countPromotionStage(nameOf(Report.Stage), nameOf(Report.Reason));
   logEvent(LogEvent::PromotionStageChanged,
--- a/packages/telemetry/sessionlog.h
+++ b/packages/telemetry/sessionlog.h
@@ -18,6 +18,11 @@
   /// Records a statement that was prepared on a database connection.
   void onStatementPrepared(const StatementPreparation &Preparation,
                            TimePoint Now);
+  /// Records a session or a statement that was refused because of its key.
+  void onKeyRefused(const KeyRefusal &Refusal, TimePoint Now);
+  /// Records an operation that was refused because of its account's limit.
+  void onQuotaRefused(const AccountName &Account, Milliseconds RetryAfter,
+                      TimePoint Now);
   void onPromotion(const PromotionReport &Report);
   void onLeadership(const LeadershipRecord &Record);
   /// Connections to the database can no longer be opened, or can be opened
@@ -32,6 +37,9 @@
   static constexpr double PreparationsPerSecond = 10;
   static constexpr double PreparationBurst = 100;
 
+  static constexpr double RefusalsPerSecond = 10;
+  static constexpr double RefusalBurst = 50;
+
   /// Logs how many lines about statements were left out, at most once in a
   /// while.
   void reportSuppressed(RateLimit &Limit, TimePoint Now);
@@ -39,6 +47,7 @@
   SessionMetrics &Metrics_;
   RateLimit LineLimit_{LinesPerSecond, LineBurst};
   RateLimit PreparationLimit_{PreparationsPerSecond, PreparationBurst};
+  RateLimit RefusalLimit_{RefusalsPerSecond, RefusalBurst};
   TimePoint SuppressedReportedAt_;
 };
 
--- a/packages/telemetry/sessionmetrics.cpp
+++ b/packages/telemetry/sessionmetrics.cpp
@@ -40,6 +40,17 @@
           .Name("nutmegloom_session_preparations_total")
           .Help("Statements prepared on database connections")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &KeyRefusals =
+      prometheus::BuildCounter()
+          .Name("nutmegloom_key_refusals_total")
+          .Help("Sessions and statements refused because of their API key")
+          .Register(Registry);
+  prometheus::Counter &QuotaRefusals =
+      prometheus::BuildCounter()
+          .Name("nutmegloom_quota_refusals_total")
+          .Help("Operations refused because of their account's rate limit")
+          .Register(Registry)
+          .Add({});
   prometheus::Family<prometheus::Counter> &Stages =
       prometheus::BuildCounter()
           .Name("nutmegloom_promotion_stages_total")
@@ -97,6 +108,12 @@
   State_->Preparations.Add({{"access", std::string(Access)}}).Increment();
 }
 
+void SessionMetrics::countKeyRefusal(std::string_view Reason) {
+  State_->KeyRefusals.Add({{"reason", std::string(Reason)}}).Increment();
+}
+
+void SessionMetrics::countQuotaRefusal() { State_->QuotaRefusals.Increment(); }
+
 void SessionMetrics::countPromotionStage(std::string_view Stage,
                                          std::string_view Reason) {
   State_->Stages
@@ -108,6 +125,7 @@
   State &S = *State_;
   S.setGauge("configuration_version",
              static_cast<double>(Now.ConfigurationVersion));
+  S.setGauge("configuration_age_seconds", seconds(Now.ConfigurationAge));
   S.setGauge("ready", Now.Ready ? 1 : 0);
   S.setGauge("store_reached", Now.StoreReached ? 1 : 0);
   S.setGauge("sessions", static_cast<double>(Now.Sessions));
--- a/packages/telemetry/sessionmetrics.h
+++ b/packages/telemetry/sessionmetrics.h
@@ -10,6 +10,9 @@
 /// State of a host that serves sessions, at the time of a scrape.
 struct SessionGauges {
   std::uint64_t ConfigurationVersion = 0;
+  /// Time since the configuration was last known to be the latest one;
+  /// negative: not known.
+  Milliseconds ConfigurationAge{-1};
   bool Ready = false;
   bool StoreReached = false;
   std::size_t Sessions = 0;
@@ -48,6 +51,10 @@
                         std::string_view Code, Duration Time);
   /// Counts a statement that was prepared on a database connection.
   void countPreparation(std::string_view Access);
+  /// Counts a session or a statement that was refused because of its key.
+  void countKeyRefusal(std::string_view Reason);
+  /// Counts an operation that was refused because of its account's limit.
+  void countQuotaRefusal();
   void countPromotionStage(std::string_view Stage, std::string_view Reason);
   std::string serialize(const SessionGauges &Now);
 
--- a/tests/fuzz/listingsfuzz.cpp
+++ b/tests/fuzz/listingsfuzz.cpp
@@ -11,7 +11,8 @@
   Object.Revision = 1;
   Object.Content.assign(reinterpret_cast<const char *>(Data), Size);
   readDatabase(Object);
-  readConfiguration(Object);
+  std::vector<std::string> LeftOut;
+  readConfiguration(Object, LeftOut);
   readLeadership(Object);
   readLease(Object);
   readSlot(Object);
--- a/tests/platform/databaselinkstest.cpp
+++ b/tests/platform/databaselinkstest.cpp
@@ -39,7 +39,7 @@
     Database.Id = "a";
     Database.Group = "g";
     Database.Address = "127.0.0.1:" + std::to_string(Port);
-    Links_.open(1, Database);
+    Links_.open(1, Database, {});
     while (!Failed_)
       Io_.run_one();
   }
--- a/tests/platform/listingstest.cpp
+++ b/tests/platform/listingstest.cpp
@@ -1,5 +1,6 @@
 #include "platform/listings.h"
 #include "platform/platformsettings.h"
+#include "sessions/accounts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -15,6 +16,8 @@
   CPPUNIT_TEST(rejectsLongAndDeepEntries);
   CPPUNIT_TEST(readsAConfiguration);
   CPPUNIT_TEST(rejectsAConfigurationWithOneInvalidRoute);
+  CPPUNIT_TEST(readsClientAccounts);
+  CPPUNIT_TEST(leavesInvalidAccountsOut);
   CPPUNIT_TEST(recordsRoundTrip);
   CPPUNIT_TEST(memberSlotsRoundTrip);
   CPPUNIT_TEST(handlesArbitraryContent);
@@ -22,6 +25,8 @@
   CPPUNIT_TEST(reportsAnInvalidSettingByName);
   CPPUNIT_TEST_SUITE_END();
 
+  std::vector<std::string> LeftOut_;
+
   static StoredObject object(const std::string &Content) {
     StoredObject Created;
     Created.Name = "i-1";
@@ -110,12 +115,14 @@
   }
 
   void readsAConfiguration() {
-    auto Read = readConfiguration(object(
-        R"({"Version":7,"Routes":[{"Host":"d","Service":"g",
+    auto Read = readConfiguration(
+        object(
+            R"({"Version":7,"Routes":[{"Host":"d","Service":"g",
             "Kind":"read_your_writes","TimeoutMs":1000.0,"Priority":2,
             "MaxStalenessMs":2500}],
             "Services":[{"Name":"g","MaxConnections":34,"SyncReplicas":1}],
-            "Limits":{"TransactionIdleMs":2000}})"));
+            "Limits":{"TransactionIdleMs":2000}})"),
+        LeftOut_);
     const auto &Configuration = std::get<SessionConfiguration>(Read);
     const SessionRoute &Route = Configuration.Routes.at("d");
     CPPUNIT_ASSERT(Route.Mode == ConsistencyMode::ReadYourWrites);
@@ -126,12 +133,62 @@
   }
 
   void rejectsAConfigurationWithOneInvalidRoute() {
-    auto Read = readConfiguration(object(
-        R"({"Version":7,"Routes":[{"Host":"d","Service":"g","Kind":"primary"},
-            {"Host":"e","Service":"g","Kind":"odd"}],"Services":[]})"));
+    auto Read = readConfiguration(
+        object(
+            R"({"Version":7,"Routes":[{"Host":"d","Service":"g","Kind":"primary"},
+            {"Host":"e","Service":"g","Kind":"odd"}],"Services":[]})"),
+        LeftOut_);
     CPPUNIT_ASSERT(std::holds_alternative<ObjectError>(Read));
   }
 
+  static std::string withAccounts(const std::string &Accounts) {
+    return R"({"Version":7,"Routes":[{"Host":"d","Service":"g",
+               "Kind":"primary","Public":true}],"Services":[],"Tenants":)" +
+           Accounts + "}";
+  }
+
+  void readsClientAccounts() {
+    auto Read = readConfiguration(
+        object(withAccounts(R"([{"Name":"a","ApiKeys":["k1","k2"],"Priority":1,
+                                 "RequestsPerS":2.5,"Burst":3},
+                                {"Name":"b","ApiKeys":[]}])")),
+        LeftOut_);
+    const auto &Configuration = std::get<SessionConfiguration>(Read);
+    CPPUNIT_ASSERT(Configuration.RequiresKeys);
+    CPPUNIT_ASSERT(Configuration.Routes.at("d").Public);
+    const AccountSettings &First = Configuration.Accounts.at("a");
+    CPPUNIT_ASSERT(First.Keys ==
+                   std::set<KeyDigest>({digestOf("k1"), digestOf("k2")}));
+    CPPUNIT_ASSERT(First.Quota == AccountQuota({2.5, 3}));
+    CPPUNIT_ASSERT(!Configuration.Accounts.at("b").Quota);
+    CPPUNIT_ASSERT(LeftOut_.empty());
+  }
+
+  // Guards against an invalid account that keeps the whole configuration, and
+  // with it the removal of a key, from being applied; and against keys in what
+  // is logged of it.
+  void leavesInvalidAccountsOut() {
+    for (const char *Invalid :
+         {R"({"ApiKeys":["secret"]})", R"({"Name":"x y","ApiKeys":["secret"]})",
+          R"({"Name":"a","ApiKeys":["secret"]})",
+          R"({"Name":"x","ApiKeys":"secret"})",
+          R"({"Name":"x","ApiKeys":["secret",5]})", R"("secret")",
+          R"({"Name":"x","ApiKeys":["secret"],"RequestsPerS":-1,"Burst":1})",
+          R"({"Name":"x","ApiKeys":["secret"],"RequestsPerS":1e300,"Burst":1})",
+          R"({"Name":"x","ApiKeys":["secret"],"RequestsPerS":5})",
+          "{\"Name\":\"x\\r\\ny\",\"ApiKeys\":[\"secret\"]}"}) {
+      LeftOut_.clear();
+      auto Read = readConfiguration(
+          object(withAccounts(R"([{"Name":"a","ApiKeys":["k"]},)" +
+                              std::string(Invalid) + "]")),
+          LeftOut_);
+      const auto &Configuration = std::get<SessionConfiguration>(Read);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Configuration.Accounts.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), LeftOut_.size());
+      CPPUNIT_ASSERT(LeftOut_.front().find("secret") == std::string::npos);
+    }
+  }
+
   void recordsRoundTrip() {
     LeadershipRecord Record;
     Record.Group = "i-1";
@@ -172,7 +229,8 @@
     bool Holds = rc::check("any content", [](const std::string &Text) {
       for (const std::string &Content : {Text, "{\"Service\":" + Text + "}"}) {
         readDatabase(object(Content));
-        readConfiguration(object(Content));
+        std::vector<std::string> LeftOut;
+        readConfiguration(object(Content), LeftOut);
         readLeadership(object(Content));
         readLease(object(Content));
         readSlot(object(Content));
--- a/tests/sessions/databasepooltest.cpp
+++ b/tests/sessions/databasepooltest.cpp
@@ -23,9 +23,8 @@
   std::vector<ConnectionId> Opened_;
   std::vector<ConnectionId> Closed_;
   DatabasePool Pool_{Table_,
-                     {[this](ConnectionId Id, const DatabaseListing &) {
-                        Opened_.push_back(Id);
-                      },
+                     {[this](ConnectionId Id, const DatabaseListing &,
+                             const AccountName &) { Opened_.push_back(Id); },
                       [this](ConnectionId Id) { Closed_.push_back(Id); }}};
 
   void addDatabase() {
@@ -103,8 +102,8 @@
 
   /// Opens connections as long as the pool allows it and returns their number.
   std::size_t openAll(bool Urgent) {
-    while (Pool_.mayOpen("a", Urgent, Now_)) {
-      Pool_.open("a", Now_);
+    while (Pool_.mayOpen("a", {}, Urgent, Now_)) {
+      Pool_.open("a", {}, Now_);
       Pool_.onOpened(Opened_.back(), Now_);
     }
     return Pool_.countOf("a");
@@ -122,7 +121,7 @@
     addDatabase();
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), openAll(true));
     for (int Count = 0; Count < 3; ++Count)
-      Pool_.pin(*Pool_.take("a", {}));
+      Pool_.pin(*Pool_.take("a", {}, {}));
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), openAll(false));
     CPPUNIT_ASSERT_EQUAL(std::size_t(7), openAll(true));
   }
@@ -150,21 +149,21 @@
   // opened, which kept the host from opening any other.
   void countsAConnectionOfARemovedDatabaseOnce() {
     addDatabase();
-    Pool_.open("a", Now_);
+    Pool_.open("a", {}, Now_);
     Table_.apply({});
     Pool_.onOpened(Opened_.back(), Now_);
     addDatabase();
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Pool_.openingOf("a"));
-    CPPUNIT_ASSERT(Pool_.mayOpen("a", false, Now_));
+    CPPUNIT_ASSERT(Pool_.mayOpen("a", {}, false, Now_));
   }
 
   void stopsOpeningAfterAnOverload() {
     addDatabase();
-    Pool_.open("a", Now_);
+    Pool_.open("a", {}, Now_);
     Pool_.onClosed(Opened_.back());
     Pool_.onOverloaded("a", Now_);
-    CPPUNIT_ASSERT(!Pool_.mayOpen("a", true, Now_));
-    CPPUNIT_ASSERT(Pool_.mayOpen("a", false, Now_ + Milliseconds{301}));
+    CPPUNIT_ASSERT(!Pool_.mayOpen("a", {}, true, Now_));
+    CPPUNIT_ASSERT(Pool_.mayOpen("a", {}, false, Now_ + Milliseconds{301}));
   }
 };
 
--- a/tests/sessions/loadplay.cpp
+++ b/tests/sessions/loadplay.cpp
@@ -83,7 +83,8 @@
     Listings.push_back(Each->Listing);
   Started->Table.apply(Listings);
   DatabasePool::Hooks PoolHooks;
-  PoolHooks.Open = [this, Index](ConnectionId Id, const DatabaseListing &To) {
+  PoolHooks.Open = [this, Index](ConnectionId Id, const DatabaseListing &To,
+                                 const AccountName &) {
     open(Index, Id, To.Id);
   };
   PoolHooks.Close = [this, Index](ConnectionId Id) { close(Index, Id); };
--- a/tests/sessions/relayservicetest.cpp
+++ b/tests/sessions/relayservicetest.cpp
@@ -241,7 +241,7 @@
     Later.Version = 7;
     Later.Routes["later"] = Later.Routes.at("primary");
     for (std::size_t Member : {0, 1})
-      Sim->engine(Member).applyConfiguration(Later);
+      Sim->engine(Member).applyConfiguration(Later, Sim->now());
     Sim->run(Milliseconds{1500});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(7),
                          Sim->engine(Entry).sessions().configuration().Version);
@@ -261,7 +261,7 @@
     auto Sim = startSimulation();
     SessionConfiguration Later = Sim->engine(0).sessions().configuration();
     Later.Version = 7;
-    Sim->engine(0).applyConfiguration(Later);
+    Sim->engine(0).applyConfiguration(Later, Sim->now());
     Sim->run(Milliseconds{500});
     Sim->engine(1).askForConfiguration(Sim->now());
     Sim->run(Milliseconds{100});
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -98,7 +98,8 @@
   };
   Hooks.Sessions.Report = [](const StatementReport &) {};
   Hooks.Connections.Open = [this, Index](ConnectionId Id,
-                                         const DatabaseListing &Listing) {
+                                         const DatabaseListing &Listing,
+                                         const AccountName &) {
     openConnection(Index, Id, Listing);
   };
   Hooks.Connections.Close = [this, Index](ConnectionId Id) {
@@ -304,7 +305,7 @@
   AddRoute("primary", ConsistencyMode::Primary, Milliseconds{0});
   AddRoute("bounded", ConsistencyMode::BoundedStaleness, BoundedAge);
   AddRoute("own", ConsistencyMode::ReadYourWrites, ReadYourWritesAge);
-  At.Engine->applyConfiguration(Configuration);
+  At.Engine->applyConfiguration(Configuration, Now_);
   At.Engine->setMember(false, Now_);
   At.Listed = false;
   if (isMember(Index))
--- a/tests/sessions/simulationcallers.cpp
+++ b/tests/sessions/simulationcallers.cpp
@@ -8,7 +8,7 @@
 CallerSessionId Simulation::open(std::size_t Index, const std::string &Route) {
   CallerSessionId Id = ++LastSession_;
   Routes_[Id] = Route;
-  Hosts_[Index]->Engine->sessions().open(Id, Route, Now_);
+  Hosts_[Index]->Engine->sessions().open(Id, Route, {}, Now_);
   return Id;
 }
 
