--- a/testing/standinsessions/sessiondatabases.cpp
+++ b/testing/standinsessions/sessiondatabases.cpp
@@ -88,8 +88,7 @@
   std::string Rest(Line);
   if (takeWord(Rest) == "START") {
     std::string Group = takeWord(Rest);
-    // The caller's name, which may be any word.
-    takeWord(Rest);
+    Client.Account = takeWord(Rest);
     if (Group != Group_ || Rest != Id) {
       Client.Stream->write("ERROR WRONGNODE " + Id + "\r\n");
       Client.Stream->close();
@@ -196,7 +195,7 @@
     return "ERROR READONLY " + Id + "\r\n";
   }
   Executed_.emplace_back(Id, Text);
-  Runs_.push_back({Statement, Text, Prepared, Id, Client.Values,
+  Runs_.push_back({Statement, Text, Client.Account, Prepared, Id, Client.Values,
                    Client.Transaction, Writes && Client.State == "I"});
   if (Writes && Client.State == "T")
     ++Client.Writes;
--- a/testing/standinsessions/sessiondatabases.h
+++ b/testing/standinsessions/sessiondatabases.h
@@ -50,6 +50,8 @@
   struct Run {
     std::string Statement;
     std::string Text;
+    /// Name that was given at the start of the session.
+    std::string Account;
     /// EXECUTE: what stood under the name on this connection.
     std::optional<PreparedStatement> Prepared;
     std::string Database;
@@ -73,6 +75,7 @@
   };
   struct Session {
     std::shared_ptr<MessageStream> Stream;
+    std::string Account;
     std::string State = "I";
     std::size_t Writes = 0;
     std::uint64_t Transaction = 0;
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -71,6 +71,13 @@
   CPPUNIT_TEST(becomesReadyBesideOddEntries);
   CPPUNIT_TEST(reportsAnOddEntryOnce);
   CPPUNIT_TEST(runsNothingThatTheNameOfAnEntryContains);
+  CPPUNIT_TEST(namesTheAccountToDatabases);
+  CPPUNIT_TEST(refusesUnknownKeys);
+  CPPUNIT_TEST(refusesAWithdrawnKeyInsideATransaction);
+  CPPUNIT_TEST(servesPublicRoutesWithoutAKey);
+  CPPUNIT_TEST(stopsAcceptingKeysWithoutTheStore);
+  CPPUNIT_TEST(refusesAnAccountOverItsLimit);
+  CPPUNIT_TEST(revealsNoKeys);
   CPPUNIT_TEST_SUITE_END();
 
   /// Leaves 400 ms for ending transactions.
@@ -86,6 +93,7 @@
                               return true;
                             }};
   std::unique_ptr<PlatformHost> Host_;
+  std::unique_ptr<PlatformHost> Second_;
   std::string CallerAddress_;
   /// Addresses of all ports on which the host listens.
   std::vector<std::string> TcpAddresses_;
@@ -122,6 +130,59 @@
     Store_.put("config", "main", Content);
   }
 
+  using Lines = std::vector<std::string>;
+
+  /// Configures two accounts, of which the second is limited, and a public
+  /// route.
+  void configureAccounts(std::uint64_t Version, const std::string &FirstKey) {
+    json Content;
+    Content["Version"] = Version;
+    json Route = {{"Host", "d1"},      {"Service", "g"}, {"Kind", "primary"},
+                  {"TimeoutMs", 1000}, {"Priority", 1},  {"Public", false}};
+    json Open = Route;
+    Open["Host"] = "open";
+    Open["Public"] = true;
+    Content["Routes"] = {Route, Open};
+    Content["Services"] = {{{"Name", "g"}, {"MaxConnections", 34}}};
+    Content["Tenants"] = {
+        {{"Name", "first"}, {"ApiKeys", json::array({FirstKey})}},
+        {{"Name", "second"},
+         {"ApiKeys", json::array({"key-of-second"})},
+         {"RequestsPerS", 0.001},
+         {"Burst", 2}}};
+    Store_.put("config", "main", Content);
+  }
+
+  /// Starts another host, with a bound for the revocation of keys, which the
+  /// callers connect to.
+  void startWithAccounts(Milliseconds RevocationBound) {
+    configureAccounts(5, "key-of-first");
+    PlatformSettings Settings = settingsOf("h2");
+    CallerAddress_ = Settings.CallerAddress;
+    TcpAddresses_[3] = "127.0.0.1:" + std::to_string(Settings.MetricsPort);
+    Settings.KeyRevocation = RevocationBound;
+    Settings.Tolerance = {Milliseconds{5000}, 0.1, 20};
+    Second_ = std::make_unique<PlatformHost>(Io_, Settings);
+    CPPUNIT_ASSERT(Second_->start());
+  }
+
+  std::unique_ptr<TestCaller> connectWith(const std::string &Key,
+                                          const std::string &Name = "d1") {
+    auto Made = std::make_unique<TestCaller>(Io_, CallerAddress_);
+    CPPUNIT_ASSERT_EQUAL(std::string("READY I -"),
+                         ask(*Made, "START " + Name + " " + Key).back());
+    return Made;
+  }
+
+  std::string refusalOf(const std::string &Start) {
+    TestCaller Caller(Io_, CallerAddress_);
+    Caller.send(Start);
+    CPPUNIT_ASSERT(await([&] { return Caller.Closed; }));
+    return Caller.Lines.at(0);
+  }
+
+  static constexpr Milliseconds LongBound{60000};
+
   PlatformSettings settingsOf(const HostName &Host) {
     PlatformSettings Settings;
     Settings.Host = Host;
@@ -181,7 +242,10 @@
   std::vector<std::string> ask(TestCaller &Caller, const std::string &Line) {
     Caller.Lines.clear();
     Caller.send(Line);
-    CPPUNIT_ASSERT(await([&] { return Caller.isReady(); }));
+    if (!await([&] { return Caller.isReady(); }))
+      CPPUNIT_FAIL("no answer to " + Line + " but " +
+                   (Caller.Lines.empty() ? "nothing" : Caller.Lines.back()) +
+                   "\n" + Log_.str());
     return Caller.Lines;
   }
 
@@ -192,8 +256,6 @@
     return Made;
   }
 
-  using Lines = std::vector<std::string>;
-
   void servesAStatement() {
     auto Caller = connect("d1");
     Lines Read = ask(*Caller, "QUERY q1 READ x");
@@ -534,6 +596,127 @@
     std::size_t First = Text.find(oddName(0));
     CPPUNIT_ASSERT(Text.find(oddName(0), First + 1) == std::string::npos);
   }
+
+  void namesTheAccountToDatabases() {
+    startWithAccounts(LongBound);
+    auto First = connectWith("key-of-first");
+    ask(*First, "QUERY q1 WRITE x data");
+    CPPUNIT_ASSERT_EQUAL(std::string("first"),
+                         Databases_.runs().back().Account);
+    auto Second = connectWith("key-of-second");
+    ask(*Second, "QUERY q2 WRITE x data");
+    CPPUNIT_ASSERT_EQUAL(std::string("second"),
+                         Databases_.runs().back().Account);
+    ask(*First, "QUERY q3 READ x");
+    CPPUNIT_ASSERT_EQUAL(std::string("first"),
+                         Databases_.runs().back().Account);
+  }
+
+  void refusesUnknownKeys() {
+    startWithAccounts(LongBound);
+    connectWith("key-of-first");
+    for (const char *Start : {"START d1 other-key", "START d1", "START d1 ",
+                              "START none other-key"})
+      CPPUNIT_ASSERT(refusalOf(Start).starts_with("ERROR DENIED"));
+    CPPUNIT_ASSERT(
+        refusalOf("START none key-of-first").starts_with("ERROR NODATABASE"));
+    CPPUNIT_ASSERT(Databases_.runs().empty());
+  }
+
+  // Guards against a statement or a commit that runs after its key was taken
+  // away.
+  void refusesAWithdrawnKeyInsideATransaction() {
+    startWithAccounts(LongBound);
+    auto Idle = connectWith("key-of-first");
+    auto Writing = connectWith("key-of-first");
+    ask(*Writing, "QUERY q1 BEGIN");
+    ask(*Writing, "QUERY q2 WRITE x data");
+    configureAccounts(6, "new-key");
+    connectWith("new-key");
+    CPPUNIT_ASSERT(
+        ask(*Idle, "QUERY q3 READ x")[0].starts_with("ERROR DENIED"));
+    CPPUNIT_ASSERT(
+        ask(*Writing, "QUERY q4 COMMIT")[0].starts_with("ERROR DENIED"));
+    CPPUNIT_ASSERT(await([&] { return Idle->Closed && Writing->Closed; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Databases_.commits());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Databases_.runs().size());
+  }
+
+  void servesPublicRoutesWithoutAKey() {
+    startWithAccounts(LongBound);
+    auto Anybody = connectWith("other-key", "open");
+    ask(*Anybody, "QUERY q1 READ x");
+    CPPUNIT_ASSERT_EQUAL(std::string("nutmegloom"),
+                         Databases_.runs().back().Account);
+  }
+
+  // Guards against a host that can't hear of a withdrawn key and goes on to
+  // accept it.
+  void stopsAcceptingKeysWithoutTheStore() {
+    startWithAccounts(Milliseconds{1500});
+    auto Caller = connectWith("key-of-first");
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE sig-a"),
+                         ask(*Caller, "QUERY q1 READ x")[1]);
+    Store_.setDown(true);
+    std::size_t Asked = 1;
+    CPPUNIT_ASSERT(await([&] {
+      std::string Id = std::to_string(++Asked);
+      return ask(*Caller, "QUERY q" + Id + " READ x")[0].starts_with(
+          "ERROR BUSY this host can't confirm API keys now, not run");
+    }));
+    CPPUNIT_ASSERT(
+        refusalOf("START d1 key-of-first").starts_with("ERROR BUSY"));
+    Store_.setDown(false);
+    CPPUNIT_ASSERT(await([&] {
+      std::string Id = std::to_string(++Asked);
+      return ask(*Caller, "QUERY q" + Id + " READ x").back() == "READY I 3.0" ||
+             ask(*Caller, "QUERY r" + Id + " READ x").size() == 3;
+    }));
+  }
+
+  void refusesAnAccountOverItsLimit() {
+    startWithAccounts(LongBound);
+    auto Limited = connectWith("key-of-second");
+    auto Other = connectWith("key-of-first");
+    std::string Refusal;
+    for (int Number = 0; Number < 10 && Refusal.empty(); ++Number) {
+      Lines Answer =
+          ask(*Limited, "QUERY q" + std::to_string(Number) + " READ x");
+      if (Answer[0].starts_with("ERROR"))
+        Refusal = Answer[0];
+    }
+    CPPUNIT_ASSERT(Refusal.starts_with(
+        "ERROR BUSY over the account's rate limit, not run, retry after "));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), ask(*Other, "QUERY r1 READ x").size());
+  }
+
+  // Keys are secrets: neither answers, nor logs, nor metrics, nor what a
+  // database is told may contain one.
+  void revealsNoKeys() {
+    startWithAccounts(LongBound);
+    auto Caller = connectWith("key-of-first");
+    ask(*Caller, "QUERY q1 WRITE x data");
+    std::string Seen = refusalOf("START d1 key-of-nobody");
+    configureAccounts(6, "new-key");
+    connectWith("new-key");
+    for (const std::string &Line : ask(*Caller, "QUERY q2 READ x"))
+      Seen += Line;
+    std::optional<std::variant<HttpResponse, HttpFailure>> Metrics;
+    exchangeOnce(Io_, TcpAddresses_[3], {"GET", "/metrics", {}, ""},
+                 Milliseconds{5000}, std::size_t{1} << 20,
+                 [&](auto Result) { Metrics = std::move(Result); });
+    CPPUNIT_ASSERT(await([&] { return Metrics.has_value(); }));
+    Seen += std::get<HttpResponse>(*Metrics).Body;
+    CPPUNIT_ASSERT(Seen.find("nutmegloom_key_refusals_total") !=
+                   std::string::npos);
+    for (const auto &Run : Databases_.runs())
+      Seen += Run.Account;
+    Seen += Log_.str();
+    CPPUNIT_ASSERT(Seen.find("name=key_refused") != std::string::npos);
+    for (const char *Key :
+         {"key-of-first", "key-of-second", "key-of-nobody", "new-key"})
+      CPPUNIT_ASSERT(Seen.find(Key) == std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformHostTest);
--- a/tests/protocol/relaycodectest.cpp
+++ b/tests/protocol/relaycodectest.cpp
@@ -1,10 +1,14 @@
 #include "protocol/relaycodec.h"
+
 #include "protocol/packedmessage.h"
 #include "protocol/relay.capnp.h"
+#include "sessions/accounts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 namespace nutmegloom {
 
 class RelayCodecTest : public CppUnit::TestFixture {
@@ -14,6 +18,9 @@
   CPPUNIT_TEST(roundTripsResults);
   CPPUNIT_TEST(roundTripsSmallMessages);
   CPPUNIT_TEST(roundTripsConfiguration);
+  CPPUNIT_TEST(roundTripsAccounts);
+  CPPUNIT_TEST(roundTripsQuotaMessages);
+  CPPUNIT_TEST(roundTripsConfirmations);
   CPPUNIT_TEST(decodesArbitraryBytes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +166,51 @@
     roundTrip(ConfigurationRequest{});
   }
 
+  void roundTripsAccounts() {
+    SessionConfiguration Sent;
+    Sent.Version = 9;
+    Sent.RequiresKeys = true;
+    SessionRoute Route;
+    Route.Database = "d";
+    Route.Public = true;
+    Sent.Routes["d"] = Route;
+    AccountSettings Account;
+    Account.Account = "a";
+    Account.Keys = {digestOf("k1"), digestOf("k2")};
+    Account.Quota = AccountQuota{2.5, 3};
+    Sent.Accounts["a"] = Account;
+    Sent.Accounts["b"].Account = "b";
+    SessionConfiguration Read = roundTrip(Sent);
+    CPPUNIT_ASSERT(Read.RequiresKeys);
+    CPPUNIT_ASSERT(Read.Routes == Sent.Routes);
+    CPPUNIT_ASSERT(Read.Accounts == Sent.Accounts);
+  }
+
+  void roundTripsQuotaMessages() {
+    QuotaRequest Request = roundTrip(QuotaRequest{"a", 2.25, 7});
+    CPPUNIT_ASSERT_EQUAL(AccountName("a"), Request.Account);
+    CPPUNIT_ASSERT_EQUAL(2.25, Request.Tokens);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Request.Number);
+    QuotaGrant Grant = roundTrip(QuotaGrant{"a", 0.5, 8});
+    CPPUNIT_ASSERT_EQUAL(0.5, Grant.Tokens);
+    // Tokens are never made from a number that is none.
+    for (double Odd : {-1.0, std::numeric_limits<double>::infinity(),
+                       std::numeric_limits<double>::quiet_NaN()})
+      CPPUNIT_ASSERT(std::holds_alternative<RelayError>(
+          decodeRelayMessage(encodeRelayMessage(QuotaGrant{"a", Odd, 8}))));
+  }
+
+  void roundTripsConfirmations() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), roundTrip(RelayPing{}).Number);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), roundTrip(RelayPing{5}).Number);
+    RelayPong Pong;
+    CPPUNIT_ASSERT(!roundTrip(Pong).ConfigurationAge);
+    Pong.PingNumber = 5;
+    Pong.ConfigurationAge = Milliseconds{0};
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), roundTrip(Pong).PingNumber);
+    CPPUNIT_ASSERT(roundTrip(Pong).ConfigurationAge == Milliseconds{0});
+  }
+
   void decodesArbitraryBytes() {
     std::string Valid = encodeRelayMessage(RelayedStatement{});
     bool Passed =
--- a/tests/sessions/databasepooltest.cpp
+++ b/tests/sessions/databasepooltest.cpp
@@ -10,6 +10,9 @@
   CPPUNIT_TEST(matchesTheValuesOfASession);
   CPPUNIT_TEST(preparesAShapeOnceForAllSessions);
   CPPUNIT_TEST(keepsNamesOfDifferentShapesApart);
+  CPPUNIT_TEST(takesOnlyConnectionsOfTheAccount);
+  CPPUNIT_TEST(replacesTheLeastRecentlyUsedOfAnotherAccount);
+  CPPUNIT_TEST(keepsItsShareWhileAllConnectionsAreUsed);
   CPPUNIT_TEST(limitsConnectionsToItsShare);
   CPPUNIT_TEST(exceedsItsShareInPlaceOfTransactions);
   CPPUNIT_TEST(closesIdleConnectionsBeyondHalfOfItsShare);
@@ -109,6 +112,47 @@
     return Pool_.countOf("a");
   }
 
+  void openFor(const AccountName &Account) {
+    CPPUNIT_ASSERT(Pool_.mayOpen("a", Account, false, Now_));
+    Pool_.open("a", Account, Now_);
+    Pool_.onOpened(Opened_.back(), Now_);
+  }
+
+  // Guards against a statement on a connection that a database takes for
+  // another account's.
+  void takesOnlyConnectionsOfTheAccount() {
+    addDatabase();
+    openFor("x");
+    CPPUNIT_ASSERT(Pool_.hasIdle("a", "x"));
+    CPPUNIT_ASSERT(!Pool_.hasIdle("a", "y"));
+    CPPUNIT_ASSERT(!Pool_.hasIdle("a", {}));
+    CPPUNIT_ASSERT(!Pool_.take("a", "y", {}));
+    CPPUNIT_ASSERT(Pool_.take("a", "x", {}) == Opened_.front());
+  }
+
+  void replacesTheLeastRecentlyUsedOfAnotherAccount() {
+    addDatabase();
+    for (const char *Account : {"w", "x", "y", "z"})
+      openFor(Account);
+    // The share is four. The first connection has been used again since.
+    Pool_.release(*Pool_.take("a", "w", {}), Now_);
+    openFor("v");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Pool_.countOf("a"));
+    CPPUNIT_ASSERT(!Pool_.hasIdle("a", "x"));
+    CPPUNIT_ASSERT(Pool_.hasIdle("a", "w"));
+    CPPUNIT_ASSERT_EQUAL(Opened_[1], Closed_.back());
+  }
+
+  // Connections that are in use make no room.
+  void keepsItsShareWhileAllConnectionsAreUsed() {
+    addDatabase();
+    for (const char *Account : {"w", "x", "y", "z"}) {
+      openFor(Account);
+      Pool_.take("a", Account, {});
+    }
+    CPPUNIT_ASSERT(!Pool_.mayOpen("a", "v", false, Now_));
+  }
+
   void limitsConnectionsToItsShare() {
     addDatabase();
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), openAll(false));
