Keep the count of tries when an admitted statement is relayed again

Cause: a statement that a member relays to a host that reaches the leader began with its first try again after each lost connection; only its deadline ended it.

--- a/packages/sessions/statementrouter.cpp
+++ b/packages/sessions/statementrouter.cpp
@@ -80,18 +80,27 @@
                             TimePoint Now) {
   if (std::optional<HostName> Host = hostFor(Work, Now))
     relay(std::move(Work), *Host, Tries, Now);
-  else if (ServesDatabases_)
-    Admission_.submit(std::move(Work), Now);
-  else
+  else if (!ServesDatabases_)
     refuse(Work, Now);
+  else if (Work.Admitted)
+    run(std::move(Work), Tries, Now);
+  else
+    Admission_.submit(std::move(Work), Now);
 }
 
 void StatementRouter::onAdmitted(StatementWork Work, TimePoint Now) {
+  run(std::move(Work), 1, Now);
+}
+
+/// Runs an admitted statement here, or at a host that reaches the leader if
+/// this one does not.
+void StatementRouter::run(StatementWork Work, std::uint32_t Tries,
+                          TimePoint Now) {
   std::optional<HostName> Host;
   if (!Runner_.hasCandidateFor(Work, Now))
     Host = hostReachingLeader(Work.Group, Now);
   if (Host)
-    relay(std::move(Work), *Host, 1, Now);
+    relay(std::move(Work), *Host, Tries, Now);
   else
     Runner_.submit(std::move(Work), Now);
 }
--- a/packages/sessions/statementrouter.h
+++ b/packages/sessions/statementrouter.h
@@ -137,6 +137,7 @@
                 TimePoint Now);
   void resolveLost(Relayed Lost, bool WasSent, TimePoint Now);
   void route(StatementWork Work, std::uint32_t Tries, TimePoint Now);
+  void run(StatementWork Work, std::uint32_t Tries, TimePoint Now);
   void finish(const Relayed &Ended, StatementCode Code, std::string Detail,
               TimePoint Now);
   void relayWaiting(TimePoint Now);
