--- a/tests/sessions/quotaadmissiontest.cpp
+++ b/tests/sessions/quotaadmissiontest.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace nutmegloom {
@@ -129,7 +130,7 @@
       return;
     submit(Offered.At[Number % Offered.At.size()]);
     std::exponential_distribution<double> Gap(Offered.PerSecond / 1000);
-    auto Next = Milliseconds{static_cast<std::int64_t>(Gap(Random_) + 0.5)};
+    auto Next = Milliseconds{std::llround(Gap(Random_))};
     schedule(Next, [=, this] { arrive(Offered, Number + 1, End); });
   }
 
@@ -228,7 +229,7 @@
     });
     play({300, allMembers()}, Milliseconds{24000});
     CPPUNIT_ASSERT(static_cast<double>(mostInAWindow()) <= tolerated(50, 50));
-    CPPUNIT_ASSERT(Admitted_.size() > 50 * 20);
+    CPPUNIT_ASSERT(Admitted_.size() > std::size_t{50} * 20);
   }
 
   void followsALoweredLimit() {
