--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -17,9 +17,9 @@
     {"restored-configuration", runRestoredConfiguration},
     {"restored-leadership", runRestoredLeadership},
     {"cut-members", runCutMembers},
+    {"restored-token", runRestoredToken},
     {"crowd", runCrowd},
     {"late-promotion", runLatePromotion},
-    {"silent-connections", runSilentConnections},
     {"sent-ahead", runSentAhead},
 };
 
--- a/review/standins-2/restored.cpp
+++ b/review/standins-2/restored.cpp
@@ -15,6 +15,8 @@
 constexpr Milliseconds AwayTime{1000};
 /// Databases have written their entries again by then.
 constexpr Milliseconds RewriteTime{2000};
+/// Time from the restart of all processes to the next planned work.
+constexpr Milliseconds RestartDelay{1500};
 /// Bounds of the deployments in `sites/`.
 constexpr Milliseconds SettleWindow{4000};
 constexpr Milliseconds ConfigurationApplyTime{3000};
@@ -171,4 +173,64 @@
   return Late > 0 ? Verdict::Broken : Verdict::Held;
 }
 
+/// Rule ONE: no two holders promote with the same fencing token, also when the
+/// store comes back from a copy of before the first one.
+Verdict runRestoredToken(Scenario &Case) {
+  if (!startHosts(Case))
+    return Verdict::NotRun;
+  Case.store().copy();
+  Case.note("copy of the store at revision " +
+            std::to_string(Case.store().revision()));
+  std::string First = Case.databases().primary();
+  Case.databases().drain(First);
+  Case.note("primary " + First + " is to be replaced and reports draining");
+  Case.wait(Milliseconds{3000});
+  std::vector<PromotionCall> Before = Case.databases().promotions();
+  if (Before.empty())
+    return Verdict::NotRun;
+  Case.note("promotion by " + Before.front().Holder + ", token " +
+            std::to_string(Before.front().Token));
+  if (Case.hasTrouble())
+    Case.store().goAway();
+  for (const auto &Where : Case.hosts())
+    Where->sendSignal(SIGKILL);
+  Case.note("all processes are killed");
+  for (const auto &Where : Case.hosts())
+    Where->waitForEnd(Milliseconds{2000});
+  Case.wait(AwayTime);
+  if (Case.hasTrouble()) {
+    Case.store().comeBackFromCopy();
+    Case.rewriteConfiguration();
+    Case.databases().writeEntries();
+    Case.note("the store is back from its copy, revision " +
+              std::to_string(Case.store().revision()));
+  }
+  for (const auto &Where : Case.hosts())
+    if (Where->name() != Before.front().Holder)
+      Where->start();
+  Case.note("the other processes start again");
+  Case.wait(RestartDelay);
+  std::string Second = Case.databases().primary();
+  Case.databases().drain(Second);
+  Case.note("primary " + Second + " is to be replaced and reports draining");
+  Case.wait(Milliseconds{6000});
+  for (const auto &Where : Case.hosts())
+    if (Where->name() == Before.front().Holder)
+      Where->start();
+  Case.wait(Milliseconds{2000});
+  std::map<std::uint64_t, std::string> Holders;
+  bool Broken = false;
+  for (const PromotionCall &Call : Case.databases().promotions()) {
+    std::string &Holder =
+        Holders.emplace(Call.Token, Call.Holder).first->second;
+    bool IsSecond = Holder != Call.Holder;
+    Broken |= IsSecond;
+    Case.note("the platform received at " + std::to_string(Call.At) +
+              ": promotion of " + Call.Database + " by " + Call.Holder +
+              ", token " + std::to_string(Call.Token) +
+              (IsSecond ? "  <- token of another holder" : ""));
+  }
+  return Broken ? Verdict::Broken : Verdict::Held;
+}
+
 } // namespace review
--- a/review/standins-2/scenario.h
+++ b/review/standins-2/scenario.h
@@ -59,10 +59,10 @@
 
 Verdict runRestoredConfiguration(Scenario &Case);
 Verdict runRestoredLeadership(Scenario &Case);
+Verdict runRestoredToken(Scenario &Case);
 Verdict runCutMembers(Scenario &Case);
 Verdict runSentAhead(Scenario &Case);
 Verdict runLatePromotion(Scenario &Case);
-Verdict runSilentConnections(Scenario &Case);
 Verdict runCrowd(Scenario &Case);
 
 } // namespace review
