--- a/packages/protocol/hostobservation.capnp
+++ b/packages/protocol/hostobservation.capnp
@@ -25,6 +25,9 @@
   configurationAge @16 :Int32 = -1;
   # Number of members in the sender's list.
   members @17 :UInt32;
+  # Era of the store to which the revision beside it belongs.
+  databaseListEra @18 :UInt64;
+  dutyEra @19 :UInt64;
 
   struct Group {
     group @0 :Text;
@@ -38,5 +41,6 @@
     logIndex @8 :UInt64;
     logAge @9 :Int32;
     answeredAge @10 :Int32;
+    era @11 :UInt64;
   }
 }
--- a/packages/protocol/hostobservation.capnp.h
+++ b/packages/protocol/hostobservation.capnp.h
@@ -34,7 +34,7 @@
   struct Group;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 11, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d52f23ffc3822090, 13, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -49,7 +49,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c85097ae5a2c696, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9c85097ae5a2c696, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -116,6 +116,10 @@
 
   inline  ::uint32_t getMembers() const;
 
+  inline  ::uint64_t getDatabaseListEra() const;
+
+  inline  ::uint64_t getDutyEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -218,6 +222,12 @@
   inline  ::uint32_t getMembers();
   inline void setMembers( ::uint32_t value);
 
+  inline  ::uint64_t getDatabaseListEra();
+  inline void setDatabaseListEra( ::uint64_t value);
+
+  inline  ::uint64_t getDutyEra();
+  inline void setDutyEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -286,6 +296,8 @@
 
   inline  ::int32_t getAnsweredAge() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -359,6 +371,9 @@
   inline  ::int32_t getAnsweredAge();
   inline void setAnsweredAge( ::int32_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -739,6 +754,34 @@
       ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HostObservation::Reader::getDatabaseListEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostObservation::Builder::getDatabaseListEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void HostObservation::Builder::setDatabaseListEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HostObservation::Reader::getDutyEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostObservation::Builder::getDutyEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void HostObservation::Builder::setDutyEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostObservation::Group::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -953,6 +996,20 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HostObservation::Group::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostObservation::Group::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void HostObservation::Group::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/hostobservationcodec.cpp
+++ b/packages/protocol/hostobservationcodec.cpp
@@ -26,7 +26,8 @@
 void encodeGroup(wire::HostObservation::Group::Builder To,
                  const GroupObservation &Seen) {
   To.setGroup(Seen.Record.Group);
-  To.setRevision(Seen.Record.Revision);
+  To.setRevision(Seen.Record.Revision.Number);
+  To.setEra(Seen.Record.Revision.Era);
   // An unchanged record is sent without its leader, since the receiver already
   // has it.
   if (!Seen.Unchanged) {
@@ -54,7 +55,8 @@
                                            : LeadershipPhase::Promoting;
   Seen.Record.Holder = From.getHolder().cStr();
   Seen.Unchanged = Seen.Record.Leader.empty();
-  Seen.Record.Revision = From.getRevision();
+  Seen.Record.Revision = StoreRevision(From.getRevision(), From.getEra());
+  Seen.Record.WrittenInEra = From.getEra();
   Seen.ConfirmedAge = ageOf(From.getConfirmedAge());
   if (std::optional<Milliseconds> Age = ageOf(From.getLogAge())) {
     Seen.LeaderLog = Position{From.getLogTerm(), From.getLogIndex()};
@@ -75,14 +77,17 @@
   Message.ConfigurationVersion = From.getConfigurationVersion();
   Message.ConfigurationAge = ageOf(From.getConfigurationAge());
   Message.Members = From.getMembers();
-  Message.DatabaseListRevision = From.getDatabaseListRevision();
+  Message.DatabaseListRevision =
+      StoreRevision(From.getDatabaseListRevision(), From.getDatabaseListEra());
   Message.SentAt = From.getSentAt();
   Message.EchoIncarnation = From.getEchoIncarnation();
   Message.EchoSentAt = From.getEchoSentAt();
   Message.Lease.Holder = From.getDutyHolder().cStr();
   Message.Lease.Incarnation = From.getDutyIncarnation();
   Message.Lease.Token = From.getDutyToken();
-  Message.Lease.Revision = From.getDutyRevision();
+  Message.Lease.Revision =
+      StoreRevision(From.getDutyRevision(), From.getDutyEra());
+  Message.Lease.WrittenInEra = From.getDutyEra();
   for (auto Group : From.getGroups())
     Message.Groups.push_back(decodeGroup(Group));
   return Message;
@@ -102,14 +107,16 @@
   To.setConfigurationVersion(Message.ConfigurationVersion);
   To.setConfigurationAge(ageField(Message.ConfigurationAge));
   To.setMembers(Message.Members);
-  To.setDatabaseListRevision(Message.DatabaseListRevision);
+  To.setDatabaseListRevision(Message.DatabaseListRevision.Number);
+  To.setDatabaseListEra(Message.DatabaseListRevision.Era);
   To.setSentAt(Message.SentAt);
   To.setEchoIncarnation(Message.EchoIncarnation);
   To.setEchoSentAt(Message.EchoSentAt);
   To.setDutyHolder(Message.Lease.Holder);
   To.setDutyIncarnation(Message.Lease.Incarnation);
   To.setDutyToken(Message.Lease.Token);
-  To.setDutyRevision(Message.Lease.Revision);
+  To.setDutyRevision(Message.Lease.Revision.Number);
+  To.setDutyEra(Message.Lease.Revision.Era);
   auto Groups = To.initGroups(static_cast<unsigned>(Message.Groups.size()));
   for (unsigned At = 0; At < Groups.size(); ++At)
     encodeGroup(Groups[At], Message.Groups[At]);
--- a/packages/sessions/hosttable.cpp
+++ b/packages/sessions/hosttable.cpp
@@ -41,7 +41,7 @@
   return ListedAt_ ? isListed(Host) : isLive(Host, Now);
 }
 
-bool HostTable::allAtRevision(const GroupId &Group, std::uint64_t Revision,
+bool HostTable::allAtRevision(const GroupId &Group, StoreRevision Revision,
                               TimePoint Since) const {
   if (!ListedAt_ || *ListedAt_ < Since)
     return false;
--- a/packages/sessions/hosttable.h
+++ b/packages/sessions/hosttable.h
@@ -37,7 +37,7 @@
   std::optional<Milliseconds> ConfigurationAge;
   /// Number of members in the sender's list.
   std::uint32_t Members = 0;
-  std::uint64_t DatabaseListRevision = 0;
+  StoreRevision DatabaseListRevision;
   /// Time of sending by the sender's clock, in microseconds.
   std::uint64_t SentAt = 0;
   /// Incarnation and SentAt of the latest message that the sender has received
@@ -74,11 +74,11 @@
     bool Leaving = false;
     bool ReachesStore = true;
     /// Revisions of the leadership records that the peer uses.
-    std::map<GroupId, std::uint64_t> RecordRevisions;
+    std::map<GroupId, StoreRevision> RecordRevisions;
     std::uint64_t ConfigurationVersion = 0;
     /// Number of members in the peer's list.
     std::uint32_t Members = 0;
-    std::uint64_t DatabaseListRevision = 0;
+    StoreRevision DatabaseListRevision;
     /// Latest start of an exchange of this peer that each leader answered.
     std::map<DatabaseId, TimePoint> LeaderAnswered;
   };
@@ -95,7 +95,7 @@
   /// to use the given revision or a later one. The list of hosts must be from a
   /// read that began at or after Since, when the revision was already written:
   /// a host reads records only once it is listed.
-  bool allAtRevision(const GroupId &Group, std::uint64_t Revision,
+  bool allAtRevision(const GroupId &Group, StoreRevision Revision,
                      TimePoint Since) const;
 
   /// Handles a message of another host. Returns a time of this host's clock
--- a/packages/sessions/leasemanager.cpp
+++ b/packages/sessions/leasemanager.cpp
@@ -1,5 +1,7 @@
 #include "sessions/leasemanager.h"
 
+#include <algorithm>
+
 namespace nutmegloom {
 
 namespace {
@@ -17,9 +19,14 @@
 }
 
 void LeaseManager::onRead(const PromotionLease &Read, TimePoint Now) {
+  HighestToken_ = std::max(HighestToken_, Read.Token);
   if (Read.Revision <= Lease_.Revision)
     return;
   Lease_ = Read;
+  if (Read.isRestored()) {
+    Lease_.Holder.clear();
+    Lease_.Incarnation = 0;
+  }
   SeenAt_ = Now;
   // The lease was written by this process, and the answer to the write was
   // lost.
@@ -28,13 +35,21 @@
   LostAt_.reset();
 }
 
+void LeaseManager::onAbsent(std::uint64_t Era, TimePoint Now) {
+  PromotionLease None;
+  None.Revision = StoreRevision(0, Era);
+  onRead(None, Now);
+}
+
 bool LeaseManager::isHeld(Duration Remaining, TimePoint Now) const {
   return WrittenAt_ && isOwn() &&
          Now + Remaining <= *WrittenAt_ + LeaseValidity;
 }
 
 bool LeaseManager::mayAcquire(TimePoint Now) const {
-  return Lease_.Revision == 0 || isOwn() || Now - SeenAt_ >= HolderTimeout;
+  // Without eras a lease is never lost, so there was none before.
+  bool IsFirst = Lease_.Revision == StoreRevision();
+  return IsFirst || isOwn() || Now - SeenAt_ >= HolderTimeout;
 }
 
 void LeaseManager::acquireOrRenew(TimePoint Now) {
@@ -44,7 +59,7 @@
   PromotionLease Next;
   Next.Holder = Hosts_.self();
   Next.Incarnation = Hosts_.incarnation();
-  Next.Token = Lease_.Token + (isOwn() ? 0 : 1);
+  Next.Token = isOwn() ? Lease_.Token : HighestToken_ + 1;
   RequestedAt_ = Now;
   Write_(Next, Lease_.Revision);
 }
--- a/packages/sessions/leasemanager.h
+++ b/packages/sessions/leasemanager.h
@@ -21,18 +21,24 @@
 /// the lease. That time is shorter than HolderTimeout, so there are never two
 /// holders that may request promotions at the same time, and a later holder has
 /// a higher token.
+///
+/// A new era of the store ends the lease, also if the store came back with a
+/// copy of it. The holder stops as soon as it hears of the era. Another host
+/// waits for HolderTimeout from then on, as the holder may not have heard.
 class LeaseManager {
 public:
-  /// Replaces the lease if its revision in the store is still Expected (zero:
-  /// it does not exist). The result is passed to onWritten.
+  /// Replaces the lease if its revision in the store is still Expected (not
+  /// set: it does not exist). The result is passed to onWritten.
   using Write =
-      std::function<void(const PromotionLease &, std::uint64_t Expected)>;
+      std::function<void(const PromotionLease &, StoreRevision Expected)>;
 
   LeaseManager(const HostTable &Hosts, Write WriteHook)
       : Hosts_(Hosts), Write_(std::move(WriteHook)) {}
 
   /// Handles a lease that was read from the store, here or by another host.
   void onRead(const PromotionLease &Read, TimePoint Now);
+  /// Handles an answer of the store that contains no lease.
+  void onAbsent(std::uint64_t Era, TimePoint Now);
   /// Handles the result of a write. Current is the lease in the store if it was
   /// written, and has no revision otherwise.
   void onWritten(WriteOutcome Outcome, const PromotionLease &Current,
@@ -54,6 +60,8 @@
   const HostTable &Hosts_;
   Write Write_;
   PromotionLease Lease_;
+  /// Highest token that this host knows of.
+  std::uint64_t HighestToken_ = 0;
   /// When the lease's revision was first seen.
   TimePoint SeenAt_;
   /// Start of this host's latest successful write.
--- a/packages/sessions/membership.cpp
+++ b/packages/sessions/membership.cpp
@@ -38,18 +38,27 @@
 
 void Membership::list(TimePoint Now) {
   Listing_ = true;
+  ListIsOutdated_ = false;
   ListedAt_ = Now;
   Hooks_.List(/*MayBeOld=*/NoFreeSlot_ && !Member_);
 }
 
 void Membership::onListFailed() { Listing_ = false; }
 
-void Membership::onListed(std::vector<MemberSlot> Slots, TimePoint Now) {
+void Membership::onListed(std::vector<MemberSlot> Slots, StoreRevision AsOf,
+                          TimePoint Now) {
   Listing_ = false;
   Listed_ = true;
   if (!FirstListedAt_)
     FirstListedAt_ = Now;
   Slots_ = std::move(Slots);
+  // The list may be older than this host's latest write.
+  if (Member_ && (Writing_ || AsOf < Own_.Revision))
+    return;
+  if (Member_ && AsOf.Era > Own_.Revision.Era) {
+    restoreSlot(AsOf.Era);
+    return;
+  }
   auto Own = std::find_if(Slots_.begin(), Slots_.end(),
                           [&](const auto &Slot) { return Slot.Host == Self_; });
   if (Member_ && Own == Slots_.end())
@@ -62,6 +71,30 @@
     join(Own->Revision);
 }
 
+/// Writes this host's slot again, unless the store has it as this host wrote it
+/// in an earlier era. Promotions also wait for the host that a restored slot
+/// names.
+void Membership::restoreSlot(std::uint64_t Era) {
+  auto Stored =
+      std::find_if(Slots_.begin(), Slots_.end(),
+                   [&](const auto &Slot) { return Slot.Name == Own_.Name; });
+  Own_.Revision = StoreRevision(0, Era);
+  if (Stored != Slots_.end()) {
+    Own_.Revision = Stored->Revision;
+    Own_.Former.insert(Stored->Former.begin(), Stored->Former.end());
+    if (!Stored->Stopped)
+      Own_.Former.insert(Stored->Host);
+    Own_.Former.erase(Self_);
+    bool IsComplete = Stored->Host == Self_ && !Stored->Stopped &&
+                      Stored->Location.Address == Location_.Address &&
+                      Stored->Former == Own_.Former;
+    if (IsComplete)
+      return;
+  }
+  Writing_ = true;
+  Hooks_.Write(Own_, Own_.Revision);
+}
+
 /// Another host has taken the slot, after this one was unreachable.
 void Membership::leave() {
   Member_ = false;
@@ -70,7 +103,7 @@
   Hooks_.Decided(false);
 }
 
-void Membership::join(std::uint64_t Revision) {
+void Membership::join(StoreRevision Revision) {
   Own_.Revision = Revision;
   Member_ = true;
   Hooks_.Decided(true);
@@ -120,6 +153,8 @@
 }
 
 bool Membership::isListDue(TimePoint Now) const {
+  if (ListIsOutdated_)
+    return true;
   Milliseconds Interval = ListInterval;
   if (!Listed_)
     Interval = RetryInterval;
@@ -167,13 +202,17 @@
   Hooks_.Write(Own_, Own_.Revision);
 }
 
-void Membership::onWritten(WriteOutcome Outcome, std::uint64_t Revision,
+void Membership::onWritten(WriteOutcome Outcome, StoreRevision Revision,
                            TimePoint Now) {
   Writing_ = false;
   if (Stopping_)
     return;
+  if (Member_) {
+    onRestored(Outcome, Revision);
+    return;
+  }
   if (Outcome == WriteOutcome::Written) {
-    AddedSlot_ = Own_.Revision == 0;
+    AddedSlot_ = !Own_.Revision.isSet();
     join(Revision);
     list(Now);
     return;
@@ -188,6 +227,23 @@
     Listed_ = false;
 }
 
+/// Handles the result of writing the slot again in a new era of the store.
+void Membership::onRestored(WriteOutcome Outcome, StoreRevision Revision) {
+  ListIsOutdated_ = true;
+  switch (Outcome) {
+  case WriteOutcome::Written:
+    Own_.Revision = Revision;
+    return;
+  case WriteOutcome::Unknown:
+    // The next list shows whether the slot is to be written once more.
+    Own_.Revision = StoreRevision();
+    return;
+  case WriteOutcome::Conflict:
+    leave();
+    return;
+  }
+}
+
 void Membership::stop() {
   Stopping_ = true;
   if (!Member_)
--- a/packages/sessions/membership.h
+++ b/packages/sessions/membership.h
@@ -21,8 +21,8 @@
   /// running and use leadership records, so a promotion waits for them as for
   /// members.
   std::set<HostName> Former;
-  /// Version in the store; zero: the slot does not exist.
-  std::uint64_t Revision = 0;
+  /// Version in the store; not set: the slot does not exist.
+  StoreRevision Revision;
 };
 
 /// Determines whether this host is a member, that is, one of the hosts that
@@ -34,13 +34,14 @@
 /// their statements to members. With few hosts all of them are members. Slots
 /// are taken by conditional writes, so hosts that start at the same time take
 /// different ones. A host that restarts takes its former slot; the slot of a
-/// host that is lost is taken by another one.
+/// host that is lost is taken by another one. A member writes its slot again if
+/// the store comes back from a copy that lacks it.
 class Membership {
 public:
   struct Hooks {
-    /// Writes a slot if its revision in the store is still Expected (zero: it
-    /// does not exist). The result is passed to onWritten.
-    std::function<void(const MemberSlot &, std::uint64_t Expected)> Write;
+    /// Writes a slot if its revision in the store is still Expected (not set:
+    /// it does not exist). The result is passed to onWritten.
+    std::function<void(const MemberSlot &, StoreRevision Expected)> Write;
     /// Reads the list of slots, with MayBeOld by a cheaper read that may return
     /// outdated data. The result is passed to onListed or onListFailed.
     std::function<void(bool MayBeOld)> List;
@@ -56,9 +57,13 @@
   Membership(HostName Self, ListedHost Location, std::size_t Zones,
              bool HighCapacity, Hooks Callbacks);
 
-  void onListed(std::vector<MemberSlot> Slots, TimePoint Now);
+  /// Handles a list of all slots, as of a revision of the store.
+  void onListed(std::vector<MemberSlot> Slots, StoreRevision AsOf,
+                TimePoint Now);
   void onListFailed();
-  void onWritten(WriteOutcome Outcome, std::uint64_t Revision, TimePoint Now);
+  void onWritten(WriteOutcome Outcome, StoreRevision Revision, TimePoint Now);
+  /// The store may have lost slots: lists them at the next tick.
+  void onEraChanged() { ListIsOutdated_ = true; }
   void tick(TimePoint Now);
   /// Gives up the slot, after this host has stopped using databases.
   void stop();
@@ -75,11 +80,13 @@
   std::size_t slotsPerZone() const;
   std::optional<MemberSlot> freeSlot(TimePoint Now);
   bool isTakeable(const MemberSlot &Slot, TimePoint Now);
+  void restoreSlot(std::uint64_t Era);
+  void onRestored(WriteOutcome Outcome, StoreRevision Revision);
   void leave();
   bool isListDue(TimePoint Now) const;
   void list(TimePoint Now);
   void tryJoin(TimePoint Now);
-  void join(std::uint64_t Revision);
+  void join(StoreRevision Revision);
 
   HostName Self_;
   ListedHost Location_;
@@ -88,6 +95,7 @@
   Hooks Hooks_;
   std::vector<MemberSlot> Slots_;
   bool Listed_ = false;
+  bool ListIsOutdated_ = false;
   bool Listing_ = false;
   bool Writing_ = false;
   bool Member_ = false;
--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -71,11 +71,14 @@
 /// then told to retry after OverdueRetry.
 constexpr Milliseconds OverdueSlack{300};
 constexpr Milliseconds OverdueRetry{1500};
+/// Time for hosts to be listed again after the store has come back from a copy
+/// without them.
+constexpr Milliseconds HostListRestoreTime{6000};
 /// Expected wait for a leader whose leadership is no longer confirmed.
 constexpr Milliseconds UnconfirmedRetry{1000};
 
-constexpr std::array<std::string_view, 5> ReasonNames{
-    "none", "draining", "gone", "silent", "demoted"};
+constexpr std::array<std::string_view, 6> ReasonNames{
+    "none", "draining", "gone", "silent", "demoted", "record_lost"};
 constexpr std::array<std::string_view, 7> StageNames{
     "watching",  "comparing", "claiming", "waiting",
     "promoting", "verifying", "settling"};
@@ -95,9 +98,48 @@
     : Table_(Table), Hosts_(Hosts), Authority_(Authority),
       Hooks_(std::move(Callbacks)), Lease_(Hosts, Hooks_.WriteLease) {}
 
-void PromotionSystem::onRecordsListed(TimePoint Now) {
-  (void)Now;
+void PromotionSystem::onRecordsListed(
+    const std::vector<LeadershipRecord> &Records, std::uint64_t Era,
+    TimePoint Now) {
+  if (!RecordsListed_ || Era > Era_)
+    EraSeenAt_ = Now;
   RecordsListed_ = true;
+  Era_ = Era;
+  for (auto &[Group, Promotion] : Promotions_)
+    Promotion.Restored.reset();
+  for (const auto &[Group, Known] : Authority_.records())
+    if (Known.Revision.Era < Era) {
+      LeadershipRecord None;
+      None.Group = Group;
+      None.Revision = StoreRevision(0, Era);
+      Promotions_[Group].Restored = None;
+    }
+  for (const LeadershipRecord &Record : Records)
+    if (Record.isRestored())
+      Promotions_[Record.Group].Restored = Record;
+}
+
+/// The restored record that is to be replaced; null if there is none, or the
+/// group is known to have a record of the store's present era.
+const LeadershipRecord *
+PromotionSystem::restoredRecord(const GroupId &Group,
+                                const GroupPromotion &Promotion) const {
+  if (!Promotion.Restored)
+    return nullptr;
+  const LeadershipRecord *Known = Authority_.recordOf(Group);
+  bool IsReplaced =
+      Known && Known->Revision.Era >= Promotion.Restored->Revision.Era;
+  return IsReplaced ? nullptr : &*Promotion.Restored;
+}
+
+/// Revision of the group's record in the store, which a claim replaces.
+StoreRevision
+PromotionSystem::replaceableRevision(const GroupId &Group,
+                                     const GroupPromotion &Promotion) const {
+  if (const LeadershipRecord *Restored = restoredRecord(Group, Promotion))
+    return Restored->Revision;
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  return Record ? Record->Revision : StoreRevision();
 }
 
 PromotionStage PromotionSystem::stageOf(const GroupId &Group) const {
@@ -126,6 +168,11 @@
 void PromotionSystem::tick(TimePoint Now) {
   for (const GroupId &Group : Table_.groups()) {
     GroupPromotion &Promotion = Promotions_[Group];
+    bool HasClaim = Promotion.Stage == PromotionStage::Waiting ||
+                    Promotion.Stage == PromotionStage::Verifying;
+    if (HasClaim && restoredRecord(Group, Promotion))
+      enter(Group, Promotion, PromotionStage::Watching, Now,
+            "the store has lost the claim");
     switch (Promotion.Stage) {
     case PromotionStage::Watching:
       watch(Group, Promotion, Now);
@@ -153,6 +200,10 @@
 void PromotionSystem::watch(const GroupId &Group, GroupPromotion &Promotion,
                             TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (restoredRecord(Group, Promotion)) {
+    watchRestored(Group, Promotion, Now);
+    return;
+  }
   if (!Record) {
     if (RecordsListed_)
       createFirstRecord(Group, Promotion, Now);
@@ -219,6 +270,34 @@
   beginComparing(Group, Promotion, PromotionReason::Silent, Now);
 }
 
+/// Replaces what a store with lost content returned as the group's record. It
+/// may name a former leader, so a claim is written as for a promotion, and the
+/// databases' reports decide: if the group has a primary, it is the best
+/// candidate and stays. A promotion that was begun before can't be requested
+/// any more once the lease of that time has expired. Until then hosts use the
+/// leader that they know, as while the store is unreachable.
+void PromotionSystem::watchRestored(const GroupId &Group,
+                                    GroupPromotion &Promotion, TimePoint Now) {
+  if (!Lease_.mayAcquire(Now)) {
+    Promotion.SuspectedAt.reset();
+    return;
+  }
+  if (!Promotion.SuspectedAt)
+    Promotion.SuspectedAt = Now;
+  if (Now - *Promotion.SuspectedAt < RankDelay * rank(Now))
+    return;
+  Promotion.OldLeader.clear();
+  PromotionReason Reason = PromotionReason::None;
+  const LeadershipRecord *Known = Authority_.recordOf(Group);
+  if (Known && Known->Phase == LeadershipPhase::Settled)
+    Reason = reasonToReplace(Group, *Known, Now);
+  if (Reason == PromotionReason::None)
+    Reason = PromotionReason::RecordLost;
+  else
+    Promotion.OldLeader = Known->Leader;
+  beginComparing(Group, Promotion, Reason, Now);
+}
+
 /// True if this process wrote the claim, and the answer to the write was lost.
 bool PromotionSystem::isOwnClaim(const LeadershipRecord &Record,
                                  const GroupPromotion &Promotion) const {
@@ -268,7 +347,7 @@
   First.Term = Primary->Log ? Primary->Log->Term : 0;
   First.Holder = Hosts_.self();
   enter(Group, Promotion, PromotionStage::Settling, Now, "first record");
-  Hooks_.Write(First, 0);
+  Hooks_.Write(First, StoreRevision());
 }
 
 bool PromotionSystem::isUnreachable(const DatabaseInfo &Leader,
@@ -319,8 +398,7 @@
                                      GroupPromotion &Promotion,
                                      PromotionReason Reason, TimePoint Now) {
   Promotion.Reason = Reason;
-  if (const LeadershipRecord *Record = Authority_.recordOf(Group))
-    Promotion.SeenRevision = Record->Revision;
+  Promotion.SeenRevision = replaceableRevision(Group, Promotion);
   Promotion.Reports.clear();
   Promotion.OldLeaderFailed = false;
   Promotion.ClaimWritePending = false;
@@ -412,8 +490,7 @@
                   Promotion.Reports.contains(Promotion.OldLeader) ||
                   !Table_.find(Promotion.OldLeader);
   bool Complete = Reported >= Expected && OldHeard;
-  const LeadershipRecord *Record = Authority_.recordOf(Group);
-  if (!Record || Record->Revision != Promotion.SeenRevision) {
+  if (replaceableRevision(Group, Promotion) != Promotion.SeenRevision) {
     enter(Group, Promotion, PromotionStage::Watching, Now,
           "the record has changed");
     return;
@@ -488,6 +565,8 @@
 void PromotionSystem::claim(const GroupId &Group, GroupPromotion &Promotion,
                             TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (!Record)
+    Record = restoredRecord(Group, Promotion);
   LeadershipRecord Claim;
   Claim.Group = Group;
   Claim.Leader = Promotion.NextLeader;
@@ -496,12 +575,13 @@
   Claim.Holder = Hosts_.self();
   Promotion.ClaimWritePending = true;
   enter(Group, Promotion, PromotionStage::Claiming, Now);
-  Hooks_.Write(Claim, Record ? Record->Revision : 0);
+  Hooks_.Write(Claim, Promotion.SeenRevision);
 }
 
 void PromotionSystem::beginWaiting(const GroupId &Group,
                                    GroupPromotion &Promotion,
-                                   std::uint64_t ClaimRevision, TimePoint Now) {
+                                   StoreRevision ClaimRevision, TimePoint Now) {
+  Promotion.Restored.reset();
   Promotion.ClaimWritePending = false;
   Promotion.ClaimRevision = ClaimRevision;
   Promotion.ClaimedAt = Now;
@@ -517,12 +597,14 @@
                                 const LeadershipRecord &Current,
                                 TimePoint Now) {
   GroupPromotion &Promotion = Promotions_[Group];
-  if (Outcome != WriteOutcome::Unknown && Current.Revision > 0)
+  if (Outcome != WriteOutcome::Unknown && Current.Revision.isSet())
     Authority_.confirm(Current, Promotion.StageSince);
   bool Settling = Promotion.Stage == PromotionStage::Settling;
   if (!Settling && Promotion.Stage != PromotionStage::Claiming)
     return;
   if (Outcome != WriteOutcome::Written) {
+    // The next list shows whether there still is a restored record.
+    Promotion.Restored.reset();
     enter(Group, Promotion, PromotionStage::Watching, Now,
           Outcome == WriteOutcome::Conflict ? "another host was first"
                                             : "no answer");
@@ -625,6 +707,21 @@
     beginComparing(Group, Promotion, Promotion.Reason, Now);
 }
 
+/// True when every host that may use the old leader is known to use the claim.
+/// The list of hosts may have been restored without some of them, which matters
+/// unless the leader stays the same.
+bool PromotionSystem::areHostsUpdated(const GroupId &Group,
+                                      const GroupPromotion &Promotion,
+                                      TimePoint Now) const {
+  auto Next = Promotion.Reports.find(Promotion.NextLeader);
+  bool Leads = Next != Promotion.Reports.end() &&
+               Next->second.Report.Role == DatabaseRole::Primary;
+  if (Era_ > 0 && !Leads && Now - EraSeenAt_ < HostListRestoreTime)
+    return false;
+  return Hosts_.allAtRevision(Group, Promotion.ClaimRevision,
+                              Promotion.ClaimedAt);
+}
+
 /// A host may use the old leader until it uses the claim, or until its latest
 /// confirmation expires. If all hosts use the claim, the promotion is requested
 /// at once. Otherwise LeadershipValidity must pass after the other databases
@@ -636,9 +733,7 @@
   if (Now - Promotion.StageSince < CallRetryInterval &&
       Promotion.PlatformCalled)
     return;
-  bool Followed =
-      Hosts_.allAtRevision(Group, Promotion.ClaimRevision, Promotion.ClaimedAt);
-  if (Followed && !Promotion.PausedAt) {
+  if (!Promotion.PausedAt && areHostsUpdated(Group, Promotion, Now)) {
     promoteOnceCaughtUp(Group, Promotion, Now);
     return;
   }
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -12,7 +12,15 @@
 namespace nutmegloom {
 
 /// Reason for replacing a group's leader.
-enum class PromotionReason { None, Draining, Gone, Silent, Demoted };
+enum class PromotionReason {
+  None,
+  Draining,
+  Gone,
+  Silent,
+  Demoted,
+  /// The store came back without the group's latest record.
+  RecordLost,
+};
 std::string_view nameOf(PromotionReason Reason);
 
 /// Stage of a promotion at this host.
@@ -60,9 +68,9 @@
 class PromotionSystem {
 public:
   struct Hooks {
-    /// Replaces the record if its revision in the store is still Expected
-    /// (zero: it does not exist). The result is passed to onWritten.
-    std::function<void(const LeadershipRecord &, std::uint64_t Expected)> Write;
+    /// Replaces the record if its revision in the store is still Expected (not
+    /// set: it does not exist). The result is passed to onWritten.
+    std::function<void(const LeadershipRecord &, StoreRevision Expected)> Write;
     LeaseManager::Write WriteLease;
     /// Asks the platform for a promotion. mayRequest() must be asked again
     /// immediately before the request is sent, for example once a connection is
@@ -84,9 +92,10 @@
   PromotionSystem(const DatabaseTable &Table, const HostTable &Hosts,
                   LeaderAuthority &Authority, Hooks Callbacks);
 
-  /// All records were read from the store: a group without a known record has
-  /// none.
-  void onRecordsListed(TimePoint Now);
+  /// Handles a list of all records in the store: a group without a known record
+  /// has none. Era: of the store when it answered.
+  void onRecordsListed(const std::vector<LeadershipRecord> &Records,
+                       std::uint64_t Era, TimePoint Now);
   /// Sets since when the store's list of databases has been watched without
   /// interruption; nothing: it is not being watched.
   void setListTrustedSince(std::optional<TimePoint> Since) {
@@ -137,8 +146,12 @@
     TimePoint StageSince;
     /// When a reason to replace the leader was first seen.
     std::optional<TimePoint> SuspectedAt;
+    /// What the store returned instead of a record of its present era: a
+    /// restored record, or one without a revision if there was none. See
+    /// restoredRecord().
+    std::optional<LeadershipRecord> Restored;
     /// Revision of the group's record, and when this host first saw it.
-    std::uint64_t SeenRevision = 0;
+    StoreRevision SeenRevision;
     TimePoint SeenAt;
     DatabaseId OldLeader;
     /// The old leader failed to answer in the stage Comparing.
@@ -149,7 +162,7 @@
     /// The write of a claim was begun, and its outcome is unknown.
     bool ClaimWritePending = false;
     /// Revision of this host's claim.
-    std::uint64_t ClaimRevision = 0;
+    StoreRevision ClaimRevision;
     TimePoint ClaimedAt;
     /// When all hosts were first known to use the claim.
     std::optional<TimePoint> AllHostsUpdatedAt;
@@ -177,12 +190,20 @@
   void watch(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
   void watchClaim(const GroupId &Group, const LeadershipRecord &Claim,
                   GroupPromotion &Promotion, TimePoint Now);
+  void watchRestored(const GroupId &Group, GroupPromotion &Promotion,
+                     TimePoint Now);
+  const LeadershipRecord *restoredRecord(const GroupId &Group,
+                                         const GroupPromotion &Promotion) const;
+  StoreRevision replaceableRevision(const GroupId &Group,
+                                    const GroupPromotion &Promotion) const;
+  bool areHostsUpdated(const GroupId &Group, const GroupPromotion &Promotion,
+                       TimePoint Now) const;
   void createFirstRecord(const GroupId &Group, GroupPromotion &Promotion,
                          TimePoint Now);
   bool isOwnClaim(const LeadershipRecord &Record,
                   const GroupPromotion &Promotion) const;
   void beginWaiting(const GroupId &Group, GroupPromotion &Promotion,
-                    std::uint64_t ClaimRevision, TimePoint Now);
+                    StoreRevision ClaimRevision, TimePoint Now);
   bool mayCompleteForHolder(const LeadershipRecord &Record,
                             GroupPromotion &Promotion, TimePoint Now) const;
   /// True when a database that is missing from the list is gone: the list has
@@ -232,6 +253,9 @@
   Hooks Hooks_;
   LeaseManager Lease_;
   bool RecordsListed_ = false;
+  /// Era of the latest list of records, and when this host first saw it.
+  std::uint64_t Era_ = 0;
+  TimePoint EraSeenAt_;
   std::optional<TimePoint> ListTrustedSince_;
   std::optional<TimePoint> DatabasesListedAt_;
   std::optional<TimePoint> StoreReachedSince_;
--- a/packages/sessions/sessionengine.cpp
+++ b/packages/sessions/sessionengine.cpp
@@ -234,7 +234,7 @@
 }
 
 void SessionEngine::applyDatabases(std::vector<DatabaseListing> Listed,
-                                   std::uint64_t Revision, TimePoint Now) {
+                                   StoreRevision Revision, TimePoint Now) {
   for (const DatabaseListing &Known : Listed_) {
     bool StillListed =
         std::any_of(Listed.begin(), Listed.end(),
@@ -277,10 +277,12 @@
 }
 
 void SessionEngine::applyRecords(const std::vector<LeadershipRecord> &Records,
-                                 TimePoint Moment, TimePoint Now) {
+                                 TimePoint Moment, TimePoint Now,
+                                 std::uint64_t Era) {
   for (const LeadershipRecord &Record : Records)
-    updateLeadership(Record, Moment, Now);
-  Promotions_.onRecordsListed(Now);
+    if (!Record.isRestored())
+      updateLeadership(Record, Moment, Now);
+  Promotions_.onRecordsListed(Records, Era, Now);
 }
 
 void SessionEngine::onRecordWritten(const GroupId &Group, WriteOutcome Outcome,
@@ -336,10 +338,10 @@
       Database, Found == Unanswered.end() ? BegunAt : Found->second, Now);
 }
 
-static std::uint64_t followedRevision(const HostTable::Peer &Peer,
+static StoreRevision followedRevision(const HostTable::Peer &Peer,
                                       const GroupId &Group) {
   auto Found = Peer.RecordRevisions.find(Group);
-  return Found == Peer.RecordRevisions.end() ? 0 : Found->second;
+  return Found == Peer.RecordRevisions.end() ? StoreRevision() : Found->second;
 }
 
 HostObservation
--- a/packages/sessions/sessionengine.h
+++ b/packages/sessions/sessionengine.h
@@ -94,11 +94,12 @@
   /// list. A database that is missing from it stays in use for a short time,
   /// since its entry may reappear.
   void applyDatabases(std::vector<DatabaseListing> Listed,
-                      std::uint64_t Revision, TimePoint Now);
+                      StoreRevision Revision, TimePoint Now);
   /// Applies all leadership records, from a read of the store that began at
-  /// Moment.
+  /// Moment. Era: of the store when it answered. Restored records confirm
+  /// nothing, and are replaced by the promotion system.
   void applyRecords(const std::vector<LeadershipRecord> &Records,
-                    TimePoint Moment, TimePoint Now);
+                    TimePoint Moment, TimePoint Now, std::uint64_t Era = 0);
   /// Handles the result of a conditional write of a leadership record.
   void onRecordWritten(const GroupId &Group, WriteOutcome Outcome,
                        const LeadershipRecord &Current, TimePoint Now);
@@ -123,7 +124,7 @@
   void setLeaving() { Leaving_ = true; }
   /// Sets whether this host holds connections to databases.
   void setMember(bool Member, TimePoint Now);
-  std::uint64_t databaseListRevision() const { return ListRevision_; }
+  StoreRevision databaseListRevision() const { return ListRevision_; }
   void tick(TimePoint Now);
 
 private:
@@ -159,7 +160,7 @@
   /// Databases that were removed from the list, and when.
   std::map<DatabaseId, std::pair<DatabaseListing, TimePoint>> Missing_;
   std::map<DatabaseId, TimePoint> ProbedAt_;
-  std::uint64_t ListRevision_ = 0;
+  StoreRevision ListRevision_;
   TimePoint ConfigurationAskedAt_;
   bool Leaving_ = false;
   bool Member_ = false;
--- a/packages/sessions/sessiontypes.h
+++ b/packages/sessions/sessiontypes.h
@@ -2,6 +2,7 @@
 #define NUTMEGLOOM_SESSIONS_SESSIONTYPES_H
 
 #include "core/types.h"
+#include "sessions/storerevision.h"
 
 #include <array>
 #include <map>
@@ -260,8 +261,15 @@
   LeadershipPhase Phase = LeadershipPhase::Settled;
   /// Host that wrote the record.
   HostName Holder;
-  /// Version of the record in the store; zero: there is none.
-  std::uint64_t Revision = 0;
+  /// Version of the record in the store; not set: there is none.
+  StoreRevision Revision;
+  /// Era of the store in which the record was written, by the knowledge of the
+  /// host that wrote it.
+  std::uint64_t WrittenInEra = 0;
+
+  /// True for a record of an earlier era than the one in which it was read: a
+  /// later record of that era may be lost.
+  bool isRestored() const { return WrittenInEra < Revision.Era; }
 };
 
 /// Lease of the host that may request promotions. It is kept in the platform's
@@ -273,8 +281,11 @@
   std::uint64_t Incarnation = 0;
   /// Fencing token, increased whenever the holder changes.
   std::uint64_t Token = 0;
-  /// Version of the object in the store; zero: there is none.
-  std::uint64_t Revision = 0;
+  /// Version of the object in the store; not set: there is none.
+  StoreRevision Revision;
+  /// As for LeadershipRecord.
+  std::uint64_t WrittenInEra = 0;
+  bool isRestored() const { return WrittenInEra < Revision.Era; }
 };
 
 /// Distance class of a database or host, nearest first.
--- a/packages/sessions/statementrunner.h
+++ b/packages/sessions/statementrunner.h
@@ -109,7 +109,7 @@
     std::uint32_t Attempts = 0;
     TimePoint SentAt;
     /// Revision of the leadership record when the statement was sent.
-    std::uint64_t LeadershipRevision = 0;
+    StoreRevision LeadershipRevision;
     /// The session's last write was rolled back by a promotion.
     bool LastWriteLost = false;
     /// Confirming: the answer to the commit.
--- a/packages/telemetry/events.cpp
+++ b/packages/telemetry/events.cpp
@@ -42,7 +42,7 @@
   LogOutput Output_;
 };
 
-constexpr std::array<LogEventEntry, 37> Events{{
+constexpr std::array<LogEventEntry, 38> Events{{
     {LogEvent::HostStarted, LogLevel::Info, "host_started",
      "the host has started"},
     {LogEvent::HostReady, LogLevel::Info, "host_ready",
@@ -111,6 +111,8 @@
      "this host holds connections to databases, or relays statements"},
     {LogEvent::StatementPrepared, LogLevel::Info, "statement_prepared",
      "a statement was prepared on a database connection"},
+    {LogEvent::StoreRestored, LogLevel::Warning, "store_restored",
+     "the platform's store came back from a copy and may have lost changes"},
     {LogEvent::KeyRefused, LogLevel::Info, "key_refused",
      "a session or a statement was refused because of its API key"},
     {LogEvent::QuotaExceeded, LogLevel::Info, "quota_exceeded",
--- a/packages/telemetry/events.h
+++ b/packages/telemetry/events.h
@@ -52,6 +52,7 @@
   LogLinesLeftOut = 1609,
   MembershipDecided = 1610,
   StatementPrepared = 1611,
+  StoreRestored = 1612,
   KeyRefused = 1701,
   QuotaExceeded = 1702,
   AccountLeftOut = 1703,
--- a/packages/telemetry/sessionlog.cpp
+++ b/packages/telemetry/sessionlog.cpp
@@ -112,7 +112,8 @@
             {"term", static_cast<std::int64_t>(Record.Term)},
             {"phase", nameOf(Record.Phase)},
             {"holder", Record.Holder},
-            {"revision", static_cast<std::int64_t>(Record.Revision)}});
+            {"revision", static_cast<std::int64_t>(Record.Revision.Number)},
+            {"era", static_cast<std::int64_t>(Record.Revision.Era)}});
 }
 
 void SessionLog::onReachabilityChanged(const DatabaseId &Database, bool Reached,
--- a/packages/telemetry/sessionmetrics.cpp
+++ b/packages/telemetry/sessionmetrics.cpp
@@ -137,6 +137,7 @@
              static_cast<double>(Now.DatabaseConnections));
   S.setGauge("live_hosts", static_cast<double>(Now.LiveHosts));
   S.setGauge("store_calls", static_cast<double>(Now.StoreCalls));
+  S.setGauge("store_era", static_cast<double>(Now.StoreEra));
   S.setGauge("member", Now.Member ? 1 : 0);
   S.setGauge("sessions_of_others", static_cast<double>(Now.SessionsOfOthers));
   S.setGauge("statements_at_others",
--- a/packages/telemetry/sessionmetrics.h
+++ b/packages/telemetry/sessionmetrics.h
@@ -22,6 +22,8 @@
   std::size_t DatabaseConnections = 0;
   std::size_t LiveHosts = 0;
   std::uint64_t StoreCalls = 0;
+  /// Era that the store reports; zero: none.
+  std::uint64_t StoreEra = 0;
   /// This host is a member: it holds connections to databases.
   bool Member = false;
   /// Sessions of other hosts with a statement or a transaction on this host.
--- a/testing/standinsessions/objectapi.cpp
+++ b/testing/standinsessions/objectapi.cpp
@@ -4,13 +4,6 @@
 
 using nlohmann::json;
 
-static HttpResponse makeResponse(int Status, std::string Body = "{}") {
-  HttpResponse Response;
-  Response.Status = Status;
-  Response.Body = std::move(Body);
-  return Response;
-}
-
 ObjectApi::ObjectApi(boost::asio::io_context &Io,
                      std::function<bool(const std::string &)> Promote)
     : Promote_(std::move(Promote)) {
@@ -21,6 +14,14 @@
   Address_ = std::get<std::string>(Server_->listen("127.0.0.1:0"));
 }
 
+HttpResponse ObjectApi::answer(int Status, std::string Body) const {
+  HttpResponse Response;
+  Response.Status = Status;
+  Response.Headers.emplace_back("Store-Era", std::to_string(Era_));
+  Response.Body = std::move(Body);
+  return Response;
+}
+
 std::string ObjectApi::encodeObject(const std::string &Name,
                                     const Object &Encoded) {
   json Meta = {{"Name", Name},
@@ -34,15 +35,15 @@
 
 void ObjectApi::notifyWatches(const std::string &Kind, const std::string &Name,
                               bool Deleted) {
-  LastChanges_[Kind] = Revision_;
-  std::string Body = R"({"AsOf":)" + std::to_string(Revision_) +
+  Present_.LastChanges[Kind] = Present_.Revision;
+  std::string Body = R"({"AsOf":)" + std::to_string(Present_.Revision) +
                      R"(,"events":[{"Deleted":)" +
                      (Deleted ? "true" : "false") + R"(,"Object":)" +
-                     encodeObject(Name, Objects_[Kind][Name]) + "}]}";
+                     encodeObject(Name, Present_.Objects[Kind][Name]) + "}]}";
   std::vector<Watch> Kept;
   for (Watch &Pending : Watches_) {
     if (Pending.Kind == Kind)
-      Pending.Respond(makeResponse(200, Body));
+      Pending.Respond(answer(200, Body));
     else
       Kept.push_back(std::move(Pending));
   }
@@ -56,37 +57,49 @@
 
 void ObjectApi::putText(const std::string &Kind, const std::string &Name,
                         std::string Content) {
-  Objects_[Kind][Name] = {std::move(Content), ++Revision_};
+  Present_.Objects[Kind][Name] = {std::move(Content), ++Present_.Revision};
   notifyWatches(Kind, Name, false);
 }
 
 void ObjectApi::erase(const std::string &Kind, const std::string &Name) {
-  ++Revision_;
+  ++Present_.Revision;
   notifyWatches(Kind, Name, true);
-  Objects_[Kind].erase(Name);
+  Present_.Objects[Kind].erase(Name);
 }
 
 std::optional<json> ObjectApi::find(const std::string &Kind,
                                     const std::string &Name) const {
-  auto ObjectsOfKind = Objects_.find(Kind);
-  if (ObjectsOfKind == Objects_.end() || !ObjectsOfKind->second.contains(Name))
+  auto ObjectsOfKind = Present_.Objects.find(Kind);
+  if (ObjectsOfKind == Present_.Objects.end() ||
+      !ObjectsOfKind->second.contains(Name))
     return std::nullopt;
   return json::parse(ObjectsOfKind->second.at(Name).Content);
 }
 
-void ObjectApi::dropHistory() {
+void ObjectApi::answerWatches(int Status) {
   for (Watch &Pending : Watches_)
-    Pending.Respond(makeResponse(410));
+    Pending.Respond(answer(Status));
   Watches_.clear();
 }
 
+void ObjectApi::dropHistory() { answerWatches(410); }
+
+void ObjectApi::copy() { Copy_ = Present_; }
+
+void ObjectApi::restore() {
+  answerWatches(503);
+  Present_ = Copy_;
+  ++Era_;
+}
+
 HttpResponse ObjectApi::list(const std::string &Kind) const {
   std::string Items;
-  if (auto ObjectsOfKind = Objects_.find(Kind); ObjectsOfKind != Objects_.end())
+  if (auto ObjectsOfKind = Present_.Objects.find(Kind);
+      ObjectsOfKind != Present_.Objects.end())
     for (const auto &[Name, Stored] : ObjectsOfKind->second)
       Items += (Items.empty() ? "" : ",") + encodeObject(Name, Stored);
-  return makeResponse(200, R"({"AsOf":)" + std::to_string(Revision_) +
-                               R"(,"More":false,"items":[)" + Items + "]}");
+  return answer(200, R"({"AsOf":)" + std::to_string(Present_.Revision) +
+                         R"(,"More":false,"items":[)" + Items + "]}");
 }
 
 HttpResponse ObjectApi::write(const std::string &Kind, std::string Name,
@@ -94,29 +107,29 @@
                               const std::string &Body) {
   if (Method == "DELETE") {
     erase(Kind, Name);
-    return makeResponse(200);
+    return answer(200);
   }
   json Received = json::parse(Body);
   if (Method == "POST")
     Name = Received["meta"]["Name"].get<std::string>();
-  auto &ObjectsOfKind = Objects_[Kind];
+  auto &ObjectsOfKind = Present_.Objects[Kind];
   bool Exists = ObjectsOfKind.contains(Name);
   if (Method == "PUT" && !Exists)
-    return makeResponse(404);
+    return answer(404);
   bool HasExpectedRevision = Received["meta"].contains("Revision");
   bool IsConflict =
       Exists && HasExpectedRevision &&
       Received["meta"]["Revision"] != ObjectsOfKind[Name].Revision;
   if ((Method == "POST" && Exists) || IsConflict)
-    return makeResponse(409, encodeObject(Name, ObjectsOfKind[Name]));
+    return answer(409, encodeObject(Name, ObjectsOfKind[Name]));
   put(Kind, Name, Received["spec"]);
-  return makeResponse(200, encodeObject(Name, ObjectsOfKind[Name]));
+  return answer(200, encodeObject(Name, ObjectsOfKind[Name]));
 }
 
 HttpResponse ObjectApi::promote(const std::string &Body) {
   ++Promotions_;
   bool Succeeded = Promote_(json::parse(Body)["Id"].get<std::string>());
-  return makeResponse(Succeeded ? 200 : 409);
+  return answer(Succeeded ? 200 : 409);
 }
 
 std::function<void()> ObjectApi::serve(const HttpServerRequest &Request,
@@ -125,7 +138,7 @@
   std::string Method(Request.Method);
   const std::string Prefix = "/v1/objects/";
   if (Down_) {
-    Respond(makeResponse(503));
+    Respond(answer(503));
     return {};
   }
   if (Target == "/promotion") {
@@ -133,7 +146,7 @@
     return {};
   }
   if (!Target.starts_with(Prefix)) {
-    Respond(makeResponse(404));
+    Respond(answer(404));
     return {};
   }
   std::string Path =
@@ -143,9 +156,11 @@
       Path.size() > Kind.size() ? Path.substr(Kind.size() + 1) : "";
   std::size_t Since = Target.find("Watch=");
   if (Since != std::string::npos) {
-    // No history is kept, so a client that missed a change has to list again.
-    if (std::stoull(Target.substr(Since + 6)) < LastChanges_[Kind])
-      Respond(makeResponse(410));
+    // No history is kept, so a client that missed a change has to list again,
+    // and so has one that names a revision that was not given out.
+    std::uint64_t Seen = std::stoull(Target.substr(Since + 6));
+    if (Seen < Present_.LastChanges[Kind] || Seen > Present_.Revision)
+      Respond(answer(410));
     else
       Watches_.push_back({Kind, std::move(Respond)});
     return {};
--- a/testing/standinsessions/objectapi.h
+++ b/testing/standinsessions/objectapi.h
@@ -38,6 +38,11 @@
   void setUnansweredWriteShare(double Share) { UnansweredWriteShare_ = Share; }
   /// Answers open watches with 410, as a store that has dropped its history.
   void dropHistory();
+  /// Keeps a copy of the present objects and revisions.
+  void copy();
+  /// Cuts off open watches and returns to the copy, in the next era. Revisions
+  /// since the copy are given out again.
+  void restore();
   /// Number of promotion requests.
   std::size_t promotions() const { return Promotions_; }
 
@@ -54,23 +59,32 @@
 
   std::function<void()> serve(const HttpServerRequest &Request,
                               HttpServer::Respond Respond);
+  HttpResponse answer(int Status, std::string Body = "{}") const;
   HttpResponse list(const std::string &Kind) const;
   HttpResponse write(const std::string &Kind, std::string Name,
                      const std::string &Method, const std::string &Body);
   HttpResponse promote(const std::string &Body);
+  void answerWatches(int Status);
   void notifyWatches(const std::string &Kind, const std::string &Name,
                      bool Deleted);
   static std::string encodeObject(const std::string &Name,
                                   const Object &Encoded);
 
+  /// What a copy of the store contains.
+  struct Content {
+    std::map<std::string, std::map<std::string, Object>> Objects;
+    /// Revision of the latest change of each kind.
+    std::map<std::string, std::uint64_t> LastChanges;
+    std::uint64_t Revision = 10;
+  };
+
   std::function<bool(const std::string &)> Promote_;
   std::shared_ptr<HttpServer> Server_;
   std::string Address_;
-  std::map<std::string, std::map<std::string, Object>> Objects_;
-  /// Revision of the latest change of each kind.
-  std::map<std::string, std::uint64_t> LastChanges_;
+  Content Present_;
+  Content Copy_;
+  std::uint64_t Era_ = 1;
   std::vector<Watch> Watches_;
-  std::uint64_t Revision_ = 10;
   std::size_t Promotions_ = 0;
   bool Down_ = false;
   double UnansweredWriteShare_ = 0;
--- a/tests/platform/listingstest.cpp
+++ b/tests/platform/listingstest.cpp
@@ -197,15 +197,18 @@
     Record.Phase = LeadershipPhase::Promoting;
     Record.Holder = "h";
     auto Read = std::get<LeadershipRecord>(
-        readLeadership(object(writeLeadership(Record, 6))));
+        readLeadership(object(writeLeadership(Record, 2, 6))));
     CPPUNIT_ASSERT_EQUAL(Record.Leader, Read.Leader);
     CPPUNIT_ASSERT(Read.Phase == LeadershipPhase::Promoting);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read.Revision);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read.Revision.Number);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Read.WrittenInEra);
     // The content differs for each write, so each write gets a new revision.
-    CPPUNIT_ASSERT(writeLeadership(Record, 6) != writeLeadership(Record, 7));
+    CPPUNIT_ASSERT(writeLeadership(Record, 2, 6) !=
+                   writeLeadership(Record, 2, 7));
     auto Lease = std::get<PromotionLease>(
-        readLease(object(writeLease({"h", 11, 3, 0}, 6))));
+        readLease(object(writeLease({"h", 11, 3, 0}, 2, 6))));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Lease.Token);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Lease.WrittenInEra);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), Lease.Incarnation);
   }
 
@@ -222,7 +225,7 @@
     CPPUNIT_ASSERT_EQUAL(Slot.Location.Region, Read.Location.Region);
     CPPUNIT_ASSERT(Read.Stopped);
     CPPUNIT_ASSERT(Slot.Former == Read.Former);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read.Revision);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read.Revision.Number);
   }
 
   void handlesArbitraryContent() {
--- a/tests/platform/objectfollowertest.cpp
+++ b/tests/platform/objectfollowertest.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST_SUITE(ObjectFollowerTest);
   CPPUNIT_TEST(usesShortWatchesUntilOneIsAnswered);
   CPPUNIT_TEST(confirmsTheCopyAsOfTheStartOfTheCall);
+  CPPUNIT_TEST(listsAgainWhenAWatchReportsALaterEra);
+  CPPUNIT_TEST(appliesAListWithLowerRevisionsOfALaterEra);
   CPPUNIT_TEST_SUITE_END();
 
   boost::asio::io_context Io_;
@@ -19,6 +21,11 @@
   /// Status of each watch; further ones get no response.
   std::vector<int> WatchStatus_;
   std::vector<std::string> Watches_;
+  /// Number of watches after which the store is restored.
+  std::size_t WatchesBeforeRestore_ = 100;
+  std::size_t Lists_ = 0;
+  /// Revisions of the copy at its changes.
+  std::vector<StoreRevision> Changes_;
   std::vector<TimePoint> Confirmed_;
   std::shared_ptr<HttpServer> Server_ = HttpServer::create(
       Io_, {}, [this](const HttpServerRequest &Request, auto Respond) {
@@ -30,18 +37,25 @@
       Io_,
       Store_,
       "servers",
-      {[this] { return Now_; }, [](const auto &, std::uint64_t) {},
+      {[this] { return Now_; },
+       [this](const auto &, StoreRevision Revision) {
+         Changes_.push_back(Revision);
+       },
        [](bool, const std::string &) {},
        [this](TimePoint BegunAt) { Confirmed_.push_back(BegunAt); }}};
 
   std::function<void()> serve(const HttpServerRequest &Request,
                               const HttpServer::Respond &Respond) {
+    bool Restored = Watches_.size() >= WatchesBeforeRestore_;
     HttpResponse Response;
     Response.Status = 200;
-    Response.Body = R"({"AsOf":3,"More":false,"items":[]})";
+    Response.Headers.emplace_back("Store-Era", Restored ? "2" : "1");
+    Response.Body = Restored ? R"({"AsOf":2,"More":false,"items":[]})"
+                             : R"({"AsOf":3,"More":false,"items":[]})";
     std::string Target(Request.Target);
     Now_ += Milliseconds{10};
     if (Target.find("Watch=") == std::string::npos) {
+      ++Lists_;
       Respond(Response);
       return {};
     }
@@ -92,6 +106,28 @@
     CPPUNIT_ASSERT(Confirmed_[0] == Start);
     CPPUNIT_ASSERT(Confirmed_[1] == Start + Milliseconds{10});
   }
+
+  /// The second watch is answered with Status by a store that has returned
+  /// with lower revisions.
+  void checkListAfterRestore(int Status) {
+    WatchStatus_ = {200, Status};
+    WatchesBeforeRestore_ = 1;
+    Follower_.start();
+    awaitWatches(3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Lists_);
+    CPPUNIT_ASSERT(Changes_.back() == StoreRevision(2, 2));
+    CPPUNIT_ASSERT(Watches_[2].find("Watch=2&") != std::string::npos);
+  }
+
+  // Guards against changes that are taken for changes of another copy, because
+  // the revision of the watch was given out again.
+  void listsAgainWhenAWatchReportsALaterEra() { checkListAfterRestore(200); }
+
+  // Guards against a copy that no change reaches any more, since the revisions
+  // of the restored store are lower, and against lists in quick succession.
+  void appliesAListWithLowerRevisionsOfALaterEra() {
+    checkListAfterRestore(410);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObjectFollowerTest);
--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(appliesChangedRoutes);
   CPPUNIT_TEST(listsAgainAfterHistoryCompaction);
   CPPUNIT_TEST(replacesALostPrimary);
+  CPPUNIT_TEST(replacesAPrimaryAfterTheStoreLostItsRecord);
   CPPUNIT_TEST(servesWhileTheStoreIsUnreachable);
   CPPUNIT_TEST(acceptsNoSessionOnceItHasFinished);
   CPPUNIT_TEST(answersStatementsInProgressBeforeItExits);
@@ -360,6 +361,32 @@
                          (*Record)["phase"].get<std::string>());
   }
 
+  /// Crashes the primary, whose entry leaves the list, and waits until a write
+  /// is served by the next one. Returns false if none is.
+  bool replacePrimary(TestCaller &Caller) {
+    std::string Lost = Databases_.primary();
+    Databases_.crash(Lost);
+    Store_.erase("servers", Lost);
+    return await([&] {
+      return ask(Caller, "QUERY q WRITE x data")[0].starts_with("COMPLETE");
+    });
+  }
+
+  // Guards against a primary that is never replaced again because the store
+  // came back from a copy, without the promotion lease and the latest record.
+  void replacesAPrimaryAfterTheStoreLostItsRecord() {
+    auto Caller = connect("d1");
+    ask(*Caller, "QUERY q1 WRITE x data");
+    Store_.copy();
+    CPPUNIT_ASSERT(replacePrimary(*Caller));
+    std::string Second = Databases_.primary();
+    Store_.restore();
+    Store_.erase("servers", "a");
+    registerDatabase(Second, "primary");
+    CPPUNIT_ASSERT(replacePrimary(*Caller));
+    CPPUNIT_ASSERT(Databases_.primary() != Second);
+  }
+
   void servesWhileTheStoreIsUnreachable() {
     auto Caller = connect("d1");
     ask(*Caller, "QUERY q1 WRITE x data");
--- a/tests/sessions/membershiptest.cpp
+++ b/tests/sessions/membershiptest.cpp
@@ -19,12 +19,15 @@
   CPPUNIT_TEST(takesTheSlotOfAnUnreachableHost);
   CPPUNIT_TEST(keepsTheSlotOfAHostThatIsReachableAgain);
   CPPUNIT_TEST(takesItsSlotAfterALostAnswer);
+  CPPUNIT_TEST(writesItsSlotAgainAfterTheStoreLostIt);
+  CPPUNIT_TEST(takesItsSlotBackFromARestoredHost);
   CPPUNIT_TEST(retriesTheListUntilTheStoreAnswers);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
   std::map<std::string, MemberSlot> Store_;
   std::uint64_t Revision_ = 5;
+  std::uint64_t Era_ = 0;
   bool StoreDown_ = false;
   bool DropsAnswers_ = false;
   std::vector<std::unique_ptr<Membership>> Hosts_;
@@ -38,7 +41,7 @@
                     std::size_t Zones, bool HighCapacity = true) {
     std::size_t At = Hosts_.size();
     Membership::Hooks Hooks;
-    Hooks.Write = [this, At](const MemberSlot &Slot, std::uint64_t Expected) {
+    Hooks.Write = [this, At](const MemberSlot &Slot, StoreRevision Expected) {
       ++Calls_;
       DeferredCalls_.push_back(
           [this, At, Slot, Expected] { writeSlot(At, Slot, Expected); });
@@ -62,18 +65,19 @@
     return *Hosts_.back();
   }
 
-  void writeSlot(std::size_t At, MemberSlot Slot, std::uint64_t Expected) {
+  void writeSlot(std::size_t At, MemberSlot Slot, StoreRevision Expected) {
     auto Held = Store_.find(Slot.Name);
-    std::uint64_t Present = Held == Store_.end() ? 0 : Held->second.Revision;
+    StoreRevision Present =
+        Held == Store_.end() ? StoreRevision() : Held->second.Revision;
     WriteOutcome Outcome = WriteOutcome::Conflict;
-    if (Present == Expected) {
-      Slot.Revision = ++Revision_;
+    if (Present == Expected || !(Present.isSet() || Expected.isSet())) {
+      Slot.Revision = StoreRevision(++Revision_, Era_);
       Store_[Slot.Name] = Slot;
       Outcome = WriteOutcome::Written;
     }
     if (DropsAnswers_)
       Outcome = WriteOutcome::Unknown;
-    Hosts_[At]->onWritten(Outcome, Revision_, Now_);
+    Hosts_[At]->onWritten(Outcome, StoreRevision(Revision_, Era_), Now_);
   }
 
   void listSlots(std::size_t At) {
@@ -84,7 +88,8 @@
     std::vector<MemberSlot> Slots;
     for (const auto &[Name, Slot] : Store_)
       Slots.push_back(Slot);
-    Hosts_[At]->onListed(std::move(Slots), Now_);
+    Hosts_[At]->onListed(std::move(Slots), StoreRevision(Revision_, Era_),
+                         Now_);
   }
 
   void run(Milliseconds Span) {
@@ -96,6 +101,19 @@
     }
   }
 
+  /// Returns the store to a copy, in the next era. All hosts hear of it.
+  void restore(const std::map<std::string, MemberSlot> &Copy) {
+    Store_ = Copy;
+    Revision_ = 5;
+    ++Era_;
+    for (auto &[Name, Slot] : Store_) {
+      Slot.Revision.Era = Era_;
+      Revision_ = std::max(Revision_, Slot.Revision.Number);
+    }
+    for (auto &Host : Hosts_)
+      Host->onEraChanged();
+  }
+
   std::size_t members() const {
     return static_cast<std::size_t>(
         std::count_if(Hosts_.begin(), Hosts_.end(),
@@ -206,6 +224,46 @@
     CPPUNIT_ASSERT(!Next.isMember());
   }
 
+  // Guards against a promotion that does not wait for a member, because the
+  // store came back from a copy without its slot.
+  void writesItsSlotAgainAfterTheStoreLostIt() {
+    start("a", "z", 12);
+    run(Milliseconds{500});
+    std::map<std::string, MemberSlot> Copy = Store_;
+    Membership &Later = start("b", "z", 12);
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Store_.size());
+    restore(Copy);
+    run(Milliseconds{200});
+    CPPUNIT_ASSERT(Later.isMember());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Store_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), members());
+  }
+
+  // The same for a slot that the copy names another host for: it may be running
+  // as a member, so promotions wait for both.
+  void takesItsSlotBackFromARestoredHost() {
+    start("a", "z", 12);
+    start("b", "z", 12);
+    run(Milliseconds{500});
+    std::map<std::string, MemberSlot> Copy = Store_;
+    Membership &Next = start("c", "z", 12);
+    run(Milliseconds{1000});
+    UnreachableSince_["a"] = Now_;
+    run(Milliseconds{15000});
+    CPPUNIT_ASSERT(Next.isMember());
+    run(Milliseconds{11000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), members());
+    restore(Copy);
+    run(Milliseconds{200});
+    CPPUNIT_ASSERT(Next.isMember());
+    bool IsRemembered =
+        std::any_of(Store_.begin(), Store_.end(), [](const auto &Entry) {
+          return Entry.second.Host == "c" && Entry.second.Former.contains("a");
+        });
+    CPPUNIT_ASSERT(IsRemembered);
+  }
+
   void takesItsSlotAfterALostAnswer() {
     Membership &Host = start("a", "z", 6);
     DropsAnswers_ = true;
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -34,6 +34,11 @@
   CPPUNIT_TEST(requestsNothingWithAnExpiredLease);
   CPPUNIT_TEST(requestsNothingUnderAReplacedClaim);
   CPPUNIT_TEST(promotesNoDatabaseThatDrainsByTheNewerList);
+  CPPUNIT_TEST(replacesARestoredRecord);
+  CPPUNIT_TEST(writesARecordThatTheStoreHasLost);
+  CPPUNIT_TEST(requestsNothingUnderALeaseOfAnEarlierEra);
+  CPPUNIT_TEST(abandonsAClaimThatTheStoreHasLost);
+  CPPUNIT_TEST(pausesDatabasesWhileTheListOfHostsMayBeRestored);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint Now_{std::chrono::hours(1)};
@@ -41,6 +46,8 @@
   HostTable Hosts_{"self", 7};
   LeaderAuthority Authority_;
   std::vector<LeadershipRecord> Written_;
+  /// Revisions that the writes of Written_ expected.
+  std::vector<StoreRevision> ExpectedRevisions_;
   std::vector<PromotionLease> WrittenLeases_;
   std::vector<std::pair<DatabaseId, std::uint64_t>> Promoted_;
   /// Reads of the list of databases are answered at once.
@@ -49,14 +56,17 @@
   std::function<void(std::uint64_t Token)> OnPromote_;
   std::map<DatabaseId, DatabaseReport> Reports_;
   std::uint64_t Revision_ = 100;
+  std::uint64_t Era_ = 0;
   PromotionSystem System_{Table_, Hosts_, Authority_, hooks()};
 
   PromotionSystem::Hooks hooks() {
     PromotionSystem::Hooks Hooks;
-    Hooks.Write = [this](const LeadershipRecord &Record, std::uint64_t) {
+    Hooks.Write = [this](const LeadershipRecord &Record,
+                         StoreRevision Expected) {
       Written_.push_back(Record);
+      ExpectedRevisions_.push_back(Expected);
     };
-    Hooks.WriteLease = [this](const PromotionLease &Lease, std::uint64_t) {
+    Hooks.WriteLease = [this](const PromotionLease &Lease, StoreRevision) {
       WrittenLeases_.push_back(Lease);
     };
     Hooks.ListHosts = [this] {
@@ -117,12 +127,14 @@
         continue;
       if (AnsweredLeaseWrites_ < WrittenLeases_.size()) {
         PromotionLease Current = WrittenLeases_[AnsweredLeaseWrites_++];
-        Current.Revision = ++Revision_;
+        Current.Revision = StoreRevision(++Revision_, Era_);
+        Current.WrittenInEra = Era_;
         System_.lease().onWritten(WriteOutcome::Written, Current, Now_);
       }
       if (AnsweredRecordWrites_ < Written_.size()) {
         LeadershipRecord Current = Written_[AnsweredRecordWrites_++];
-        Current.Revision = ++Revision_;
+        Current.Revision = StoreRevision(++Revision_, Era_);
+        Current.WrittenInEra = Era_;
         System_.onWritten("g", WriteOutcome::Written, Current, Now_);
       }
       if (AnsweredPromotions_ < Promoted_.size()) {
@@ -149,7 +161,7 @@
     Record.Term = Term;
     Record.Revision = 1;
     Authority_.confirm(Record, Now_);
-    System_.onRecordsListed(Now_);
+    System_.onRecordsListed({}, Era_, Now_);
     System_.setStoreReachedSince(Now_ - std::chrono::seconds(10));
     System_.setListTrustedSince(Now_ - std::chrono::seconds(10));
   }
@@ -574,6 +586,120 @@
     CPPUNIT_ASSERT(!Promoted_.empty());
     CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
   }
+
+  /// A group whose leader is "b" in term 4 of an era, as this host knows it.
+  void settleInFirstEra() {
+    listDatabases({"a", "b"});
+    setReport("a", DatabaseRole::Replica, 4, 10);
+    setReport("b", DatabaseRole::Primary, 4, 12);
+    Era_ = 1;
+    LeadershipRecord Record;
+    Record.Group = "g";
+    Record.Leader = "b";
+    Record.Term = 4;
+    Record.Revision = StoreRevision(100, 1);
+    Record.WrittenInEra = 1;
+    Authority_.confirm(Record, Now_);
+    System_.lease().onRead({"self", 7, 6, StoreRevision(90, 1), 1}, Now_);
+    System_.onRecordsListed({}, Era_, Now_);
+    System_.setStoreReachedSince(Now_ - std::chrono::seconds(10));
+    System_.setListTrustedSince(Now_ - std::chrono::seconds(10));
+  }
+
+  /// The store comes back from a copy in which "a" leads in term 3, or without
+  /// a record, and without the lease.
+  void restoreStore(bool HasRecord) {
+    Era_ = 2;
+    Revision_ = 60;
+    LeadershipRecord Old;
+    Old.Group = "g";
+    Old.Leader = "a";
+    Old.Term = 3;
+    Old.Revision = StoreRevision(50, 2);
+    Old.WrittenInEra = 1;
+    System_.lease().onAbsent(2, Now_);
+    std::vector<LeadershipRecord> Records;
+    if (HasRecord)
+      Records.push_back(Old);
+    System_.onRecordsListed(Records, Era_, Now_);
+  }
+
+  void checkSettledAgain(StoreRevision Expected) {
+    run(HolderTimeout - Milliseconds{100});
+    CPPUNIT_ASSERT(Written_.empty());
+    run(Milliseconds{1000});
+    CPPUNIT_ASSERT(ExpectedRevisions_.front() == Expected);
+    const LeadershipRecord *Record = Authority_.recordOf("g");
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Record->Leader);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Record->Term);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Record->Revision.Era);
+    CPPUNIT_ASSERT(Record->Phase == LeadershipPhase::Settled);
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("b"), Promoted_.front().first);
+    CPPUNIT_ASSERT(Promoted_.front().second > 6);
+  }
+
+  // Guards against a group whose primary is never replaced again: claims
+  // expected the revision of a record that the store has lost.
+  void replacesARestoredRecord() {
+    settleInFirstEra();
+    restoreStore(true);
+    checkSettledAgain(StoreRevision(50, 2));
+  }
+
+  void writesARecordThatTheStoreHasLost() {
+    settleInFirstEra();
+    restoreStore(false);
+    checkSettledAgain(StoreRevision(0, 2));
+  }
+
+  // Guards against two hosts that promote: another one may acquire the lease
+  // that the store has lost.
+  void requestsNothingUnderALeaseOfAnEarlierEra() {
+    listDatabases({"b"});
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 10);
+    bool Before = false;
+    bool After = true;
+    OnPromote_ = [&](std::uint64_t Token) {
+      Before = System_.mayRequest("g", Token, Now_);
+      System_.lease().onAbsent(1, Now_);
+      After = System_.mayRequest("g", Token, Now_);
+    };
+    run(Milliseconds{500});
+    CPPUNIT_ASSERT(Before);
+    CPPUNIT_ASSERT(!After);
+  }
+
+  // Guards against a promotion under a claim that is no longer in the store:
+  // hosts may use the leader of the restored record.
+  void abandonsAClaimThatTheStoreHasLost() {
+    listDatabases({"b"});
+    setLeader("a", 3);
+    setReport("b", DatabaseRole::Replica, 3, 10);
+    ListsDatabases_ = false;
+    run(Milliseconds{400});
+    CPPUNIT_ASSERT(System_.stageOf("g") == PromotionStage::Waiting);
+    restoreStore(true);
+    run(Milliseconds{50});
+    CPPUNIT_ASSERT(System_.stageOf("g") == PromotionStage::Watching);
+  }
+
+  // Guards against a host that is missing from the restored list of hosts and
+  // uses the former leader: without a pause, the reports of the databases
+  // confirm that leader to it.
+  void pausesDatabasesWhileTheListOfHostsMayBeRestored() {
+    settleInFirstEra();
+    restoreStore(true);
+    Table_.apply({});
+    listDatabases({"a"});
+    Reports_.erase("b");
+    run(Milliseconds{4000});
+    CPPUNIT_ASSERT(!Written_.empty());
+    CPPUNIT_ASSERT(Promoted_.empty());
+    setReport("a", DatabaseRole::Replica, 4, 10, 5);
+    run(Milliseconds{1500});
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("a"), Promoted_.front().first);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromotionSystemTest);
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -174,13 +174,13 @@
       [this, Index](const GroupId &Name, const DatabaseId &Id,
                     std::uint64_t Token) { promote(Index, Name, Id, Token); };
   Hooks.Promotions.Write = [this, Index](const LeadershipRecord &Record,
-                                         std::uint64_t Expected) {
+                                         StoreRevision Expected) {
     storeCall(
         Index, true,
         [this, Index, Record, Expected]() -> std::function<void()> {
-          std::uint64_t Present = Records_.contains(Record.Group)
+          StoreRevision Present = Records_.contains(Record.Group)
                                       ? Records_[Record.Group].Revision
-                                      : 0;
+                                      : StoreRevision();
           LeadershipRecord Current;
           WriteOutcome Outcome = WriteOutcome::Conflict;
           if (Present == Expected) {
@@ -201,7 +201,7 @@
         });
   };
   Hooks.Promotions.WriteLease = [this, Index](const PromotionLease &Lease,
-                                              std::uint64_t Expected) {
+                                              StoreRevision Expected) {
     storeCall(
         Index, true,
         [this, Index, Lease, Expected]() -> std::function<void()> {
