Begin fencing tokens with the store's era

Callers saw nothing yet; the platform did: after the store had come back from a copy, and with all processes restarted, a second host promoted with the token of the first, so that a late call of the first would have been taken for a valid one.

Cause: a token was the stored lease's token plus one. What the store has lost, only running hosts know.

Change: the era stands in the upper 32 bits. Without eras tokens are as before.

Test: LeaseManagerTest::givesNoTokenTwiceAfterTheStoreForgotThem failed before ("acquire(WithoutLease) > Token").

--- a/packages/sessions/leasemanager.cpp
+++ b/packages/sessions/leasemanager.cpp
@@ -10,6 +10,8 @@
 /// lease.
 constexpr Milliseconds LeaseValidity{2000};
 constexpr Milliseconds RequestTimeout{1000};
+/// A token begins with the era of the store above this bit.
+constexpr unsigned TokenEraBit = 32;
 
 } // namespace
 
@@ -52,6 +54,13 @@
   return IsFirst || isOwn() || Now - SeenAt_ >= HolderTimeout;
 }
 
+/// A token that is higher than all earlier ones, although the store, and every
+/// host if all are restarted, may have forgotten the latest of an earlier era.
+std::uint64_t LeaseManager::nextToken() const {
+  std::uint64_t LowestOfEra = Lease_.Revision.Era << TokenEraBit;
+  return std::max(HighestToken_, LowestOfEra) + 1;
+}
+
 void LeaseManager::acquireOrRenew(TimePoint Now) {
   bool UnderWay = RequestedAt_ && Now - *RequestedAt_ < RequestTimeout;
   if (UnderWay || !mayAcquire(Now))
@@ -59,7 +68,7 @@
   PromotionLease Next;
   Next.Holder = Hosts_.self();
   Next.Incarnation = Hosts_.incarnation();
-  Next.Token = isOwn() ? Lease_.Token : HighestToken_ + 1;
+  Next.Token = isOwn() ? Lease_.Token : nextToken();
   RequestedAt_ = Now;
   Write_(Next, Lease_.Revision);
 }
--- a/packages/sessions/leasemanager.h
+++ b/packages/sessions/leasemanager.h
@@ -25,6 +25,7 @@
 /// A new era of the store ends the lease, also if the store came back with a
 /// copy of it. The holder stops as soon as it hears of the era. Another host
 /// waits for HolderTimeout from then on, as the holder may not have heard.
+/// Tokens of a later era are higher than all of earlier ones.
 class LeaseManager {
 public:
   /// Replaces the lease if its revision in the store is still Expected (not
@@ -56,6 +57,7 @@
 
 private:
   bool isOwn() const;
+  std::uint64_t nextToken() const;
 
   const HostTable &Hosts_;
   Write Write_;
