--- a/packages/sessions/storerevision.h
+++ b/packages/sessions/storerevision.h
@@ -19,7 +19,7 @@
   std::uint64_t Number;
 
   constexpr bool isSet() const { return Number > 0; }
-  constexpr auto operator<=>(const StoreRevision &) const = default;
+  auto operator<=>(const StoreRevision &) const = default; // NOLINT
 };
 
 } // namespace nutmegloom
--- a/tests/sessions/randomfaultstest.cpp
+++ b/tests/sessions/randomfaultstest.cpp
@@ -13,8 +13,10 @@
   CPPUNIT_TEST_SUITE(RandomFaultsTest);
   CPPUNIT_TEST(preservesGuarantees);
   CPPUNIT_TEST(preservesGuaranteesOfRelayedStatements);
+  CPPUNIT_TEST(preservesGuaranteesWhenTheStoreIsRestored);
   CPPUNIT_TEST(recoversOnceFaultsEnd);
   CPPUNIT_TEST(relaysStatementsAgainOnceFaultsEnd);
+  CPPUNIT_TEST(recoversAfterTheStoreWasRestored);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t FirstSeed = 1;
@@ -62,6 +64,29 @@
     Sim.after(Span, [Set] { Set(false); });
   }
 
+  static constexpr Milliseconds MaximumCopyAge{6000};
+  static constexpr Milliseconds MaximumAwayTime{1500};
+
+  /// A store that comes back from a copy of Age before, after it was away for
+  /// Span, alone or together with restarts of all processes.
+  static void restoreStore(Simulation &Sim, Random &Generator) {
+    Milliseconds Age{
+        pick(Generator, 0, static_cast<int>(MaximumCopyAge.count()))};
+    Milliseconds Span{
+        pick(Generator, 0, static_cast<int>(MaximumAwayTime.count()))};
+    bool RestartsAll = pick(Generator, 0, 3) == 0;
+    Sim.copyStore();
+    Sim.after(Age, [&Sim, Span, RestartsAll] {
+      Sim.setStoreDown(true);
+      for (std::size_t Host = 0; RestartsAll && Host < HostCount; ++Host)
+        Sim.restartHost(Host);
+      Sim.after(Span, [&Sim] {
+        Sim.setStoreDown(false);
+        Sim.restoreStore();
+      });
+    });
+  }
+
   static void injectFault(Simulation &Sim, Random &Generator) {
     auto Host = static_cast<std::size_t>(pick(Generator, 0, HostCount - 1));
     auto Other = (Host + 1) % HostCount;
@@ -146,21 +171,33 @@
       std::cerr << Line << "\n";
   }
 
-  static std::unique_ptr<Simulation> runWithFaults(std::uint32_t Seed,
-                                                   std::size_t Members) {
+  /// Whether the store comes back from copies, besides the other faults.
+  enum class Store { LosesNothing, IsRestored };
+
+  static std::unique_ptr<Simulation>
+  runWithFaults(std::uint32_t Seed, std::size_t Members, Store Kind) {
     auto Sim = std::make_unique<Simulation>(Seed, HostCount, Members);
     Random Generator(std::uint64_t{Seed} * 7919);
+    if (Kind == Store::IsRestored)
+      Sim->reportEras();
     Sim->run(Milliseconds{1500});
-    Sim->startCallers(3, Milliseconds{26000});
-    for (int Fault = 0; Fault < 24; ++Fault) {
+    // With restores there are fewer promotions, so the series is longer.
+    int Faults = Kind == Store::IsRestored ? 48 : 24;
+    Sim->startCallers(3, Milliseconds{26000} * (Faults / 24));
+    for (int Fault = 0; Fault < Faults; ++Fault) {
+      if (Kind == Store::IsRestored && Fault % 8 == 0)
+        restoreStore(*Sim, Generator);
       injectFault(*Sim, Generator);
       Sim->run(Milliseconds{pick(Generator, 50, 1200)});
     }
+    if (Kind == Store::IsRestored)
+      Sim->run(MaximumCopyAge + MaximumAwayTime);
     Sim->run(Milliseconds{8000});
     return Sim;
   }
 
-  static void checkGuarantees(std::size_t Members) {
+  static void checkGuarantees(std::size_t Members,
+                              Store Kind = Store::LosesNothing) {
     std::size_t Promotions = 0;
     std::size_t Writes = 0;
     std::vector<std::uint32_t> Seeds(RegressionSeeds.begin(),
@@ -168,7 +205,7 @@
     for (std::uint32_t Seed = FirstSeed; Seed <= LastSeed; ++Seed)
       Seeds.push_back(Seed);
     for (std::uint32_t Seed : Seeds) {
-      auto Sim = runWithFaults(Seed, Members);
+      auto Sim = runWithFaults(Seed, Members, Kind);
       std::vector<std::string> Violations = Sim->violations();
       if (!Violations.empty())
         print(Sim->trace());
@@ -183,9 +220,10 @@
     CPPUNIT_ASSERT(Writes > std::size_t{LastSeed} * 1000);
   }
 
-  static void checkRecovery(std::size_t Members) {
+  static void checkRecovery(std::size_t Members,
+                            Store Kind = Store::LosesNothing) {
     for (std::uint32_t Seed = FirstSeed; Seed <= FirstSeed + 11; ++Seed) {
-      auto Sim = runWithFaults(Seed, Members);
+      auto Sim = runWithFaults(Seed, Members, Kind);
       for (std::size_t Host = 0; Host < HostCount; ++Host) {
         CallerSessionId Id = Sim->open(Host, "primary");
         StatementAnswer Answer = Sim->ask(Host, Id, StatementVerb::Write);
@@ -200,6 +238,12 @@
 
   void preservesGuarantees() { checkGuarantees(HostCount); }
   void preservesGuaranteesOfRelayedStatements() { checkGuarantees(FewMembers); }
+  void preservesGuaranteesWhenTheStoreIsRestored() {
+    checkGuarantees(HostCount, Store::IsRestored);
+  }
+  void recoversAfterTheStoreWasRestored() {
+    checkRecovery(HostCount, Store::IsRestored);
+  }
   void recoversOnceFaultsEnd() { checkRecovery(HostCount); }
   void relaysStatementsAgainOnceFaultsEnd() { checkRecovery(FewMembers); }
 };
--- a/tests/sessions/simulation.cpp
+++ b/tests/sessions/simulation.cpp
@@ -162,7 +162,7 @@
     storeCall(
         Index, false,
         [this, Index, BegunAt] {
-          auto Listed = Registered_;
+          auto Listed = Store_.Registered;
           return [this, Index, Listed, BegunAt] {
             Hosts_[Index]->Engine->applyHosts(Listed, BegunAt);
           };
@@ -175,18 +175,28 @@
                     std::uint64_t Token) { promote(Index, Name, Id, Token); };
   Hooks.Promotions.Write = [this, Index](const LeadershipRecord &Record,
                                          StoreRevision Expected) {
+    auto OnConflict = [this, Index, Record] {
+      Hosts_[Index]->Engine->onRecordWritten(Record.Group,
+                                             WriteOutcome::Conflict, {}, Now_);
+    };
+    if (!maySendCondition(Index, Expected)) {
+      atHost(Index, Milliseconds{0}, OnConflict);
+      return;
+    }
+    std::uint64_t Era = Hosts_[Index]->StoreEra;
     storeCall(
         Index, true,
-        [this, Index, Record, Expected]() -> std::function<void()> {
-          StoreRevision Present = Records_.contains(Record.Group)
-                                      ? Records_[Record.Group].Revision
+        [this, Index, Record, Expected, Era]() -> std::function<void()> {
+          StoreRevision Present = Store_.Records.contains(Record.Group)
+                                      ? Store_.Records[Record.Group].Revision
                                       : StoreRevision();
           LeadershipRecord Current;
           WriteOutcome Outcome = WriteOutcome::Conflict;
-          if (Present == Expected) {
+          if (Present.Number == Expected.Number) {
             Current = Record;
-            Current.Revision = ++Revision_;
-            Records_[Record.Group] = Current;
+            Current.WrittenInEra = Era;
+            Current.Revision = StoreRevision(++Store_.Revision, StoreEra_);
+            Store_.Records[Record.Group] = Current;
             Outcome = WriteOutcome::Written;
           }
           return [this, Index, Record, Outcome, Current] {
@@ -202,15 +212,25 @@
   };
   Hooks.Promotions.WriteLease = [this, Index](const PromotionLease &Lease,
                                               StoreRevision Expected) {
+    auto OnConflict = [this, Index] {
+      Hosts_[Index]->Engine->promotions().lease().onWritten(
+          WriteOutcome::Conflict, {}, Now_);
+    };
+    if (!maySendCondition(Index, Expected)) {
+      atHost(Index, Milliseconds{0}, OnConflict);
+      return;
+    }
+    std::uint64_t Era = Hosts_[Index]->StoreEra;
     storeCall(
         Index, true,
-        [this, Index, Lease, Expected]() -> std::function<void()> {
+        [this, Index, Lease, Expected, Era]() -> std::function<void()> {
           PromotionLease Current;
           WriteOutcome Outcome = WriteOutcome::Conflict;
-          if (Lease_.Revision == Expected) {
+          if (Store_.Lease.Revision.Number == Expected.Number) {
             Current = Lease;
-            Current.Revision = ++Revision_;
-            Lease_ = Current;
+            Current.WrittenInEra = Era;
+            Current.Revision = StoreRevision(++Store_.Revision, StoreEra_);
+            Store_.Lease = Current;
             Outcome = WriteOutcome::Written;
           }
           return [this, Index, Outcome, Current] {
@@ -284,6 +304,7 @@
   At.Connections.clear();
   ++At.Incarnation;
   At.PausedUntil = Now_;
+  At.StoreEra = 0;
   At.Registered = false;
   At.Reading = false;
   At.Engine = std::make_unique<SessionEngine>(
@@ -332,11 +353,49 @@
     Delay += Milliseconds{std::uniform_int_distribution<>(0, 3000)(Random_)};
   if (Lost)
     atHost(Index, StoreTimeout, OnFailure);
-  after(Delay, [this, Index, Lost, Execute = std::move(Execute)] {
-    std::function<void()> Answer = Execute();
-    if (!Lost)
-      atHost(Index, StoreDelay_ / 2, std::move(Answer));
-  });
+  std::uint64_t SentInEra = Hosts_[Index]->StoreEra;
+  after(Delay,
+        [this, Index, Lost, IsWrite, SentInEra, Execute = std::move(Execute),
+         OnFailure = std::move(OnFailure)] {
+          std::function<void()> Answer = Execute();
+          if (Lost)
+            return;
+          atHost(Index, StoreDelay_ / 2,
+                 [this, Index, IsWrite, SentInEra, Era = StoreEra_, Answer,
+                  OnFailure] {
+                   if (followEra(Index, Era, IsWrite, SentInEra))
+                     Answer();
+                   else
+                     OnFailure();
+                 });
+        });
+}
+
+bool Simulation::followEra(std::size_t Index, std::uint64_t Answered,
+                           bool IsWrite, std::uint64_t SentInEra) {
+  Host &At = *Hosts_[Index];
+  if (Answered < At.StoreEra)
+    return false;
+  if (Answered > At.StoreEra) {
+    At.StoreEra = Answered;
+    At.Engine->promotions().lease().onAbsent(Answered, Now_);
+    // The list of hosts may have been restored without this one.
+    At.Registered = false;
+  }
+  return !IsWrite || Answered == SentInEra;
+}
+
+bool Simulation::maySendCondition(std::size_t Index,
+                                  StoreRevision Expected) const {
+  return !Expected.isSet() || Expected.Era == Hosts_[Index]->StoreEra;
+}
+
+void Simulation::copyStore() { StoreCopy_ = Store_; }
+
+void Simulation::restoreStore() {
+  Store_ = StoreCopy_;
+  ++StoreEra_;
+  recordEvent("the store is restored, era " + std::to_string(StoreEra_));
 }
 
 void Simulation::readRecords(std::size_t Index) {
@@ -348,17 +407,20 @@
       Index, false,
       [this, Index, BegunAt] {
         std::vector<LeadershipRecord> Shown;
-        for (const auto &[Name, Record] : Records_)
+        for (const auto &[Name, Record] : Store_.Records) {
           Shown.push_back(Record);
-        PromotionLease Lease = Lease_;
+          Shown.back().Revision.Era = StoreEra_;
+        }
+        PromotionLease Lease = Store_.Lease;
+        Lease.Revision.Era = StoreEra_;
         std::vector<DatabaseListing> Listed = listings();
-        std::uint64_t ListRevision = ListRevision_;
+        StoreRevision ListRevision(ListRevision_, StoreEra_);
         return [this, Index, Shown, Lease, Listed, ListRevision, BegunAt] {
           Host &Reader = *Hosts_[Index];
           Reader.Reading = false;
           Reader.Engine->setReachesStore(true, Now_);
           Reader.Engine->promotions().lease().onRead(Lease, Now_);
-          Reader.Engine->applyRecords(Shown, BegunAt, Now_);
+          Reader.Engine->applyRecords(Shown, BegunAt, Now_, ListRevision.Era);
           Reader.Engine->applyDatabases(Listed, ListRevision, Now_);
           Reader.Engine->promotions().setListTrustedSince(TimePoint{});
         };
@@ -375,8 +437,8 @@
   storeCall(
       Index, false,
       [this, Index, BegunAt] {
-        return [this, Index, Listed = listings(), Revision = ListRevision_,
-                BegunAt] {
+        return [this, Index, Listed = listings(),
+                Revision = StoreRevision(ListRevision_, StoreEra_), BegunAt] {
           SessionEngine &Engine = *Hosts_[Index]->Engine;
           Engine.applyDatabases(Listed, Revision, Now_);
           Engine.promotions().setDatabasesListedAt(BegunAt);
@@ -394,10 +456,10 @@
         [this, Index]() -> std::function<void()> {
           const HostName &Name = Hosts_[Index]->Name;
           if (isMember(Index))
-            Registered_[Name] = {Name, "zone", "region"};
+            Store_.Registered[Name] = {Name, "zone", "region"};
           return [this, Index] {
             Host &Applied = *Hosts_[Index];
-            Applied.Engine->applyHosts(Registered_, Now_);
+            Applied.Engine->applyHosts(Store_.Registered, Now_);
             Applied.Engine->setMember(isMember(Index), Now_);
             Applied.Listed = isMember(Index);
             if (isMember(Index))
--- a/tests/sessions/simulation.h
+++ b/tests/sessions/simulation.h
@@ -38,6 +38,13 @@
   /// Fraction of store writes whose answer is lost. Such a write takes effect
   /// up to 3 s late, if its condition still holds then.
   void setLostWriteRatio(double Ratio) { LostWriteRatio_ = Ratio; }
+  /// Lets the store report eras, from now on the first one.
+  void reportEras() { StoreEra_ = 1; }
+  /// Keeps a copy of what the hosts have written to the store.
+  void copyStore();
+  /// Returns the store to the copy, in the next era. Revisions since the copy
+  /// are given out again.
+  void restoreStore();
   /// Pauses a host for Span. Its messages are delivered afterwards.
   void pauseHost(std::size_t Host, Milliseconds Span);
   /// Restarts a host's process, which loses its sessions and connections.
@@ -168,6 +175,13 @@
   /// call is dropped if the host restarts before.
   void atHost(std::size_t Index, Milliseconds Delay,
               std::function<void()> Call);
+  /// Handles the store's era in an answer, as ObjectStore does. Returns false
+  /// if the answer counts as lost.
+  bool followEra(std::size_t Index, std::uint64_t Answered, bool IsWrite,
+                 std::uint64_t SentInEra);
+  /// True if the host may send a write on the condition that a revision is
+  /// still in force.
+  bool maySendCondition(std::size_t Index, StoreRevision Expected) const;
   /// Calls the store for a host. Execute runs at the store and returns the call
   /// that delivers the answer. OnFailure is called at the host if it cannot
   /// reach the store or the answer of a write is lost.
@@ -217,15 +231,20 @@
   DatabaseId Leader_;
   std::uint64_t Term_ = 3;
 
-  // The store.
-  std::map<GroupId, LeadershipRecord> Records_;
-  PromotionLease Lease_;
-  std::uint64_t Revision_ = 10;
+  /// What the hosts have written to the store.
+  struct StoreContent {
+    std::map<GroupId, LeadershipRecord> Records;
+    PromotionLease Lease;
+    std::uint64_t Revision = 10;
+    std::map<HostName, ListedHost> Registered;
+  };
+  StoreContent Store_;
+  StoreContent StoreCopy_;
+  std::uint64_t StoreEra_ = 0;
   std::uint64_t ListRevision_ = 1;
   std::uint64_t HighestToken_ = 0;
   /// Host that used each fencing token.
   std::map<std::uint64_t, HostName> TokenHolders_;
-  std::map<HostName, ListedHost> Registered_;
   std::size_t Members_;
   bool StoreDown_ = false;
   Milliseconds StoreDelay_{4};
--- a/tests/sessions/simulationstate.h
+++ b/tests/sessions/simulationstate.h
@@ -64,6 +64,8 @@
   TimePoint PausedUntil;
   std::unique_ptr<SessionEngine> Engine;
   std::map<ConnectionId, std::shared_ptr<DatabaseConnection>> Connections;
+  /// Era of the store that the host has seen.
+  std::uint64_t StoreEra = 0;
   bool Registered = false;
   /// The store has listed the host.
   bool Listed = false;
