Withdraw a request that is given up by a reset of its connection

Callers saw: acknowledged writes were lost after two planned changes of a primary. A host that was cut off had given its promotion request up; the partition held it, and the platform carried it out 10 s later, so that a former primary led again.

Cause: the connection of a call that had timed out was closed in the ordinary way, and what the peer had not taken was delivered later.

Change: HTTP client connections end by a reset. So do connections to databases with an unanswered message, and relays to other hosts that are given up.

Tests: HttpConnectionTest::deliversNothingOnceARequestIsGivenUp and two of DatabaseLinksTest failed before (the connection ended without a reset).

--- a/packages/protocol/httpconnection.cpp
+++ b/packages/protocol/httpconnection.cpp
@@ -107,6 +107,10 @@
     }
     beast::error_code Ignored;
     Self->Stream_.socket().set_option(tcp::no_delay(true), Ignored);
+    // The connection is closed by a reset, so that a request that was given up
+    // does not reach the server later.
+    Self->Stream_.socket().set_option(asio::socket_base::linger(true, 0),
+                                      Ignored);
     Self->Open_ = true;
     Self->Stream_.expires_never();
     Self->watchForPeerClose();
--- a/packages/protocol/httpconnection.h
+++ b/packages/protocol/httpconnection.h
@@ -53,7 +53,8 @@
 };
 
 /// HTTP/1.1 client connection with keep-alive and one exchange at a time. It
-/// holds a reference to itself while an operation is in progress.
+/// holds a reference to itself while an operation is in progress. What the
+/// server has not received of a request is lost when the exchange fails.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   using ConnectHandler = std::function<void(const HttpFailure *)>;
--- a/packages/protocol/messagestream.cpp
+++ b/packages/protocol/messagestream.cpp
@@ -228,10 +228,23 @@
   boost::system::error_code Ignored;
   if (!Output_.empty())
     Socket_.write_some(asio::buffer(Output_), Ignored);
+  Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
+  release();
+}
+
+void MessageStream::abort() {
+  if (!Open_)
+    return;
+  boost::system::error_code Ignored;
+  Socket_.set_option(asio::socket_base::linger(true, 0), Ignored);
+  release();
+}
+
+void MessageStream::release() {
+  boost::system::error_code Ignored;
   Open_ = false;
   CloseTimer_.reset();
   Output_.clear();
-  Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
   Socket_.close(Ignored);
   resetHandlersLater();
 }
--- a/packages/protocol/messagestream.h
+++ b/packages/protocol/messagestream.h
@@ -56,6 +56,9 @@
   /// Closes the connection after one non-blocking attempt to send the queued
   /// bytes. Doesn't call Closed.
   void close();
+  /// Closes the connection by a reset: queued bytes, and sent ones that the
+  /// peer has not received, are lost. Doesn't call Closed.
+  void abort();
   /// Closes the connection once the peer has taken the queued bytes, at the
   /// latest after Timeout. Until then isOpen() is true and what the peer sends
   /// is discarded. Doesn't call Closed.
@@ -75,6 +78,7 @@
   void waitUntilWritable();
   void fail();
   void resetHandlersLater();
+  void release();
   /// Tells the peer that nothing follows, and waits for it to close.
   void endOutput();
   /// Closes the connection after a delay, in place of an earlier one.
--- a/packages/protocol/relaylinks.cpp
+++ b/packages/protocol/relaylinks.cpp
@@ -161,8 +161,9 @@
     return;
   auto Stream = Found->second.Stream;
   Outgoing_.erase(Found);
+  // Statements that the other host has not received are given up.
   if (Stream)
-    Stream->close();
+    Stream->abort();
 }
 
 } // namespace nutmegloom
--- a/tests/platform/databaselinkstest.cpp
+++ b/tests/platform/databaselinkstest.cpp
@@ -1,6 +1,7 @@
 #include "platform/databaselinks.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace nutmegloom {
@@ -14,6 +15,8 @@
   CPPUNIT_TEST(reportsAResetBeforeTheFirstAnswer);
   CPPUNIT_TEST(reportsARefusedConnection);
   CPPUNIT_TEST(sendsNoCommandAfterASuspension);
+  CPPUNIT_TEST(withdrawsACommandThatIsGivenUp);
+  CPPUNIT_TEST(withdrawsAStatementWhoseConnectionIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
   struct Failure {
@@ -107,6 +110,46 @@
     CPPUNIT_ASSERT(Received.find("PAUSE") == std::string::npos);
     Database->close();
   }
+
+  /// Reads until the connection ends, and returns how it ends.
+  static boost::system::error_code endOf(tcp::socket &Peer) {
+    std::string Received;
+    boost::system::error_code Error;
+    asio::read(Peer, asio::dynamic_buffer(Received), Error);
+    return Error;
+  }
+
+  // Guards against a command, such as RESUME, that a partition holds up and
+  // that is carried out after another host has begun a promotion: only a reset
+  // withdraws it.
+  void withdrawsACommandThatIsGivenUp() {
+    tcp::acceptor Acceptor(Io_,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    DatabaseListing Listing;
+    Listing.Address =
+        "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    bool Finished = false;
+    Links_.executeOnce(Listing, {},
+                       [&](const DatabaseLinks::Reply &) { Finished = true; });
+    tcp::socket Peer = Acceptor.accept();
+    while (!Finished)
+      Io_.run_one();
+    CPPUNIT_ASSERT(endOf(Peer) == asio::error::connection_reset);
+  }
+
+  // The same for a statement whose outcome is in doubt.
+  void withdrawsAStatementWhoseConnectionIsClosed() {
+    tcp::acceptor Acceptor(Io_,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    DatabaseListing Listing;
+    Listing.Address =
+        "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    Links_.open(1, Listing, {});
+    tcp::socket Peer = Acceptor.accept();
+    Io_.run_for(std::chrono::milliseconds(20));
+    Links_.close(1);
+    CPPUNIT_ASSERT(endOf(Peer) == asio::error::connection_reset);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DatabaseLinksTest);
--- a/tests/protocol/httpconnectiontest.cpp
+++ b/tests/protocol/httpconnectiontest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(timesOutWithoutAllowedPause);
   CPPUNIT_TEST(sendsNothingOnceARequestIsWithdrawn);
   CPPUNIT_TEST(sendsNothingOnceItsTimeHasPassed);
+  CPPUNIT_TEST(deliversNothingOnceARequestIsGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr milliseconds Timeout{300};
@@ -134,6 +135,30 @@
     CPPUNIT_ASSERT(failureKind() == HttpFailureKind::Withdrawn ||
                    failureKind() == HttpFailureKind::NotConnected);
   }
+
+  // Guards against a request that takes effect long after its sender has given
+  // it up: a partition held it up, and the end of the connection did not
+  // withdraw it. Here the peer's window is full.
+  void deliversNothingOnceARequestIsGivenUp() {
+    constexpr std::size_t BodyBytes = std::size_t{256} * 1024;
+    Acceptor_.set_option(asio::socket_base::receive_buffer_size(2048));
+    Acceptor_.async_accept(Peer_, [](auto Error) { CPPUNIT_ASSERT(!Error); });
+    HttpRequest Request;
+    Request.Method = "POST";
+    Request.Body = std::string(BodyBytes, 'x');
+    exchangeOnce(
+        Io_, "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port()),
+        Request, Timeout, 1024,
+        [this](auto Result) { Result_ = std::move(Result); });
+    while (!Result_)
+      Io_.run_one();
+    CPPUNIT_ASSERT(failureKind() == HttpFailureKind::TimedOut);
+    std::string Received;
+    boost::system::error_code Error;
+    asio::read(Peer_, asio::dynamic_buffer(Received), Error);
+    CPPUNIT_ASSERT(Error == asio::error::connection_reset);
+    CPPUNIT_ASSERT(Received.size() < BodyBytes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
