Compare candidates with the term of the record after a restart

Callers saw: reads that lacked acknowledged commits, after all processes had been restarted while the leader was dark: a database with the log of the term before was promoted at once.

Cause: only the leader's position that a running process had seen counted. Ruled out: the record, which names the dark leader and its term throughout.

Change: the recorded term counts as well; of a claim the term before, as the claimed one may not have begun. The wait is the one that a running process keeps, 15 s.

Tests: waitsForTheTermOfTheRecordAfterARestart and waitsForTheTermBeforeAnUnfinishedClaim of PromotionSystemTest failed before.

--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -461,15 +461,30 @@
   Known = std::max(Known, Log);
 }
 
+/// Latest term in which commits may have been acknowledged. The record has it
+/// even if every process was restarted; the term of a claim may not have begun.
+std::uint64_t
+PromotionSystem::begunTerm(const GroupId &Group,
+                           const GroupPromotion &Promotion) const {
+  const LeadershipRecord *Record = Authority_.recordOf(Group);
+  if (!Record)
+    Record = restoredRecord(Group, Promotion);
+  std::uint64_t Recorded = Record ? Record->Term : 0;
+  if (Record && Record->Phase == LeadershipPhase::Promoting && Recorded > 0)
+    --Recorded;
+  return std::max(Recorded, Promotion.LeaderLog.Term);
+}
+
 /// True while a candidate must not be promoted because it has no commit of the
 /// leader's term, although there were some: it took no part in the term, and
 /// its promotion would drop all of them. A database that has them, such as the
 /// leader itself, may answer later.
-bool PromotionSystem::mustWaitForTerm(GroupPromotion &Promotion,
+bool PromotionSystem::mustWaitForTerm(const GroupId &Group,
+                                      GroupPromotion &Promotion,
                                       const DatabaseId &Candidate,
-                                      TimePoint Now) {
+                                      TimePoint Now) const {
   const DatabaseReport &Report = Promotion.Reports.at(Candidate).Report;
-  if (Report.Received.Term >= Promotion.LeaderLog.Term) {
+  if (Report.Received.Term >= begunTerm(Group, Promotion)) {
     Promotion.TermMissingSince.reset();
     return false;
   }
@@ -524,7 +539,7 @@
   LogComparison Comparison = comparisonOf(Group, Promotion);
   std::optional<DatabaseId> Best = Comparison.bestCandidate();
   if (!Best || !Comparison.hasEnoughReports(Promotion.StageSince) ||
-      mustWaitForTerm(Promotion, *Best, Now)) {
+      mustWaitForTerm(Group, Promotion, *Best, Now)) {
     requestReports(Group, Promotion, StatusInterval * 2, Now);
     if (Now - Promotion.StageSince > CompareTimeout * 4)
       enter(Group, Promotion, PromotionStage::Watching, Now, "no candidate");
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -217,8 +217,10 @@
   void beginComparing(const GroupId &Group, GroupPromotion &Promotion,
                       PromotionReason Reason, TimePoint Now);
   void compare(const GroupId &Group, GroupPromotion &Promotion, TimePoint Now);
-  static bool mustWaitForTerm(GroupPromotion &Promotion,
-                              const DatabaseId &Candidate, TimePoint Now);
+  bool mustWaitForTerm(const GroupId &Group, GroupPromotion &Promotion,
+                       const DatabaseId &Candidate, TimePoint Now) const;
+  std::uint64_t begunTerm(const GroupId &Group,
+                          const GroupPromotion &Promotion) const;
   LogComparison comparisonOf(const GroupId &Group,
                              const GroupPromotion &Promotion) const;
   std::uint64_t requiredTerm(const LeadershipRecord *Record,
--- a/tests/sessions/promotionsystemtest.cpp
+++ b/tests/sessions/promotionsystemtest.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(comparesLogsAgainAfterThePauses);
   CPPUNIT_TEST(waitsForADatabaseWithTheLeadersTerm);
   CPPUNIT_TEST(promotesALogOfAnEarlierTermAtLast);
+  CPPUNIT_TEST(waitsForTheTermOfTheRecordAfterARestart);
+  CPPUNIT_TEST(waitsForTheTermBeforeAnUnfinishedClaim);
   CPPUNIT_TEST(completesAClaimAtTheClaimedTerm);
   CPPUNIT_TEST(keepsARecordThatWasSettledMeanwhile);
   CPPUNIT_TEST(keepsALeaderWithOldFailures);
@@ -334,6 +336,42 @@
 
   // Guards against a group that stays without a leader: the databases that had
   // the term are gone for good.
+  /// The leader of term 4 is gone, the database that answers has the log of
+  /// term 3, and this process has seen no position of the leader.
+  void checkWaitForTerm4() {
+    setReport("b", DatabaseRole::Replica, 3, 500);
+    run(Milliseconds{14000});
+    CPPUNIT_ASSERT(Promoted_.empty());
+    listDatabases({"b", "c"});
+    setReport("c", DatabaseRole::Replica, 4, 40);
+    run(Milliseconds{1500});
+    CPPUNIT_ASSERT(!Promoted_.empty());
+    CPPUNIT_ASSERT_EQUAL(DatabaseId("c"), Promoted_.front().first);
+  }
+
+  // Guards against acknowledged commits that are dropped because all processes
+  // were restarted: none of them remembers the leader's position, but the
+  // record has its term.
+  void waitsForTheTermOfTheRecordAfterARestart() {
+    listDatabases({"b"});
+    setLeader("a", 4);
+    checkWaitForTerm4();
+  }
+
+  // The same while a claim replaces that record: its term has not begun.
+  void waitsForTheTermBeforeAnUnfinishedClaim() {
+    listDatabases({"b"});
+    setLeader("a", 4);
+    LeadershipRecord Claim;
+    Claim.Group = "g";
+    Claim.Leader = "c";
+    Claim.Term = 5;
+    Claim.Phase = LeadershipPhase::Promoting;
+    Claim.Revision = 2;
+    Authority_.confirm(Claim, Now_);
+    checkWaitForTerm4();
+  }
+
   void promotesALogOfAnEarlierTermAtLast() {
     listDatabases({"a"});
     setLeader("b", 5);
