--- a/tests/platform/platformhosttest.cpp
+++ b/tests/platform/platformhosttest.cpp
@@ -5,6 +5,7 @@
 #include "testing/standinsessions/objectapi.h"
 #include "testing/standinsessions/sessiondatabases.h"
 
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
@@ -57,6 +58,8 @@
   CPPUNIT_TEST(servesAStatement);
   CPPUNIT_TEST(refusesUnknownDatabases);
   CPPUNIT_TEST(servesATransactionWithPreparedStatement);
+  CPPUNIT_TEST(runsStatementsInTheOrderInWhichTheyWereSent);
+  CPPUNIT_TEST(runsAStatementThatWasSentBeforeTheConfiguration);
   CPPUNIT_TEST(executesAPreparedTextOfSeveralWords);
   CPPUNIT_TEST(executesAPreparedTextOfOverHalfAMessage);
   CPPUNIT_TEST(appliesChangedRoutes);
@@ -288,6 +291,61 @@
     checkExecuted(Databases_.runs().at(0), {true, "shape"}, " x data");
   }
 
+  /// Runs the loop until the caller has received a number of READY messages.
+  void awaitAnswers(tcp::socket &Caller, std::size_t Expected) {
+    std::string Received;
+    CPPUNIT_ASSERT(await([&] {
+      std::string Part(Caller.available(), '\0');
+      if (!Part.empty())
+        Caller.read_some(asio::buffer(Part));
+      Received += Part;
+      std::size_t Answers = 0;
+      for (std::size_t At = 0;
+           (At = Received.find("READY", At)) != std::string::npos; ++At)
+        ++Answers;
+      return Answers >= Expected;
+    }));
+  }
+
+  // Guards against a statement that runs ahead of queued ones: its arrival and
+  // the answer to the current statement were handled in one turn of the event
+  // loop, so that a ROLLBACK ran before a WRITE, which was then committed
+  // alone.
+  void runsStatementsInTheOrderInWhichTheyWereSent() {
+    constexpr int Turns = 60;
+    connect("d1");
+    for (int Turn = 0; Turn < Turns; ++Turn) {
+      tcp::socket Caller(Io_);
+      Caller.connect(*endpointOf(CallerAddress_));
+      asio::write(Caller, asio::buffer(std::string(
+                              "START d1 me\r\nQUERY q1 BEGIN\r\n"
+                              "QUERY q2 WRITE a x\r\nQUERY q3 WRITE b x\r\n")));
+      for (int Handled = 0; Handled < Turn; ++Handled)
+        Io_.run_one_for(Milliseconds{20});
+      asio::write(Caller, asio::buffer(std::string("QUERY q4 ROLLBACK\r\n")));
+      awaitAnswers(Caller, 5);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), Databases_.commits());
+    }
+  }
+
+  // Guards against a session that stays silent: its first statement was queued
+  // while the host had no configuration.
+  void runsAStatementThatWasSentBeforeTheConfiguration() {
+    std::optional<json> Content = Store_.find("config", "main");
+    Store_.erase("config", "main");
+    PlatformSettings Settings = settingsOf("h2");
+    PlatformHost Second(Io_, Settings);
+    CPPUNIT_ASSERT(Second.start());
+    tcp::socket Caller(Io_);
+    Caller.connect(*endpointOf(Settings.CallerAddress));
+    asio::write(Caller, asio::buffer(std::string(
+                            "START d1 me\r\nQUERY q1 SET name value\r\n")));
+    runFor(Milliseconds{50});
+    Store_.put("config", "main", *Content);
+    awaitAnswers(Caller, 2);
+    Io_.stop();
+  }
+
   /// Checks that a database ran "EXECUTE NAME" and the arguments, with one word
   /// as the name, and had the prepared statement under it.
   static void
