Keep restored records apart from promotions

promotionsystem had grown by the tracking of restored records. It is a class of its own now, RestoredRecords; no behaviour changes.

--- a/packages/sessions/promotionsystem.cpp
+++ b/packages/sessions/promotionsystem.cpp
@@ -71,9 +71,6 @@
 /// then told to retry after OverdueRetry.
 constexpr Milliseconds OverdueSlack{300};
 constexpr Milliseconds OverdueRetry{1500};
-/// Time for hosts to be listed again after the store has come back from a copy
-/// without them.
-constexpr Milliseconds HostListRestoreTime{6000};
 /// Expected wait for a leader whose leadership is no longer confirmed.
 constexpr Milliseconds UnconfirmedRetry{1000};
 
@@ -96,47 +93,19 @@
                                  const HostTable &Hosts,
                                  LeaderAuthority &Authority, Hooks Callbacks)
     : Table_(Table), Hosts_(Hosts), Authority_(Authority),
-      Hooks_(std::move(Callbacks)), Lease_(Hosts, Hooks_.WriteLease) {}
+      Hooks_(std::move(Callbacks)), Lease_(Hosts, Hooks_.WriteLease),
+      Restored_(Authority) {}
 
 void PromotionSystem::onRecordsListed(
     const std::vector<LeadershipRecord> &Records, std::uint64_t Era,
     TimePoint Now) {
-  if (!RecordsListed_ || Era > Era_)
-    EraSeenAt_ = Now;
   RecordsListed_ = true;
-  Era_ = Era;
-  for (auto &[Group, Promotion] : Promotions_)
-    Promotion.Restored.reset();
-  for (const auto &[Group, Known] : Authority_.records())
-    if (Known.Revision.Era < Era) {
-      LeadershipRecord None;
-      None.Group = Group;
-      None.Revision = StoreRevision(0, Era);
-      Promotions_[Group].Restored = None;
-    }
-  for (const LeadershipRecord &Record : Records)
-    if (Record.isRestored())
-      Promotions_[Record.Group].Restored = Record;
-}
-
-/// The restored record that is to be replaced; null if there is none, or the
-/// group is known to have a record of the store's present era.
-const LeadershipRecord *
-PromotionSystem::restoredRecord(const GroupId &Group,
-                                const GroupPromotion &Promotion) const {
-  if (!Promotion.Restored)
-    return nullptr;
-  const LeadershipRecord *Known = Authority_.recordOf(Group);
-  bool IsReplaced =
-      Known && Known->Revision.Era >= Promotion.Restored->Revision.Era;
-  return IsReplaced ? nullptr : &*Promotion.Restored;
+  Restored_.onListed(Records, Era, Now);
 }
 
 /// Revision of the group's record in the store, which a claim replaces.
-StoreRevision
-PromotionSystem::replaceableRevision(const GroupId &Group,
-                                     const GroupPromotion &Promotion) const {
-  if (const LeadershipRecord *Restored = restoredRecord(Group, Promotion))
+StoreRevision PromotionSystem::replaceableRevision(const GroupId &Group) const {
+  if (const LeadershipRecord *Restored = Restored_.find(Group))
     return Restored->Revision;
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   return Record ? Record->Revision : StoreRevision();
@@ -170,7 +139,7 @@
     GroupPromotion &Promotion = Promotions_[Group];
     bool HasClaim = Promotion.Stage == PromotionStage::Waiting ||
                     Promotion.Stage == PromotionStage::Verifying;
-    if (HasClaim && restoredRecord(Group, Promotion))
+    if (HasClaim && Restored_.find(Group))
       enter(Group, Promotion, PromotionStage::Watching, Now,
             "the store has lost the claim");
     switch (Promotion.Stage) {
@@ -200,7 +169,7 @@
 void PromotionSystem::watch(const GroupId &Group, GroupPromotion &Promotion,
                             TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
-  if (restoredRecord(Group, Promotion)) {
+  if (Restored_.find(Group)) {
     watchRestored(Group, Promotion, Now);
     return;
   }
@@ -398,7 +367,7 @@
                                      GroupPromotion &Promotion,
                                      PromotionReason Reason, TimePoint Now) {
   Promotion.Reason = Reason;
-  Promotion.SeenRevision = replaceableRevision(Group, Promotion);
+  Promotion.SeenRevision = replaceableRevision(Group);
   Promotion.Reports.clear();
   Promotion.OldLeaderFailed = false;
   Promotion.ClaimWritePending = false;
@@ -468,7 +437,7 @@
                            const GroupPromotion &Promotion) const {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   if (!Record)
-    Record = restoredRecord(Group, Promotion);
+    Record = Restored_.find(Group);
   std::uint64_t Recorded = Record ? Record->Term : 0;
   if (Record && Record->Phase == LeadershipPhase::Promoting && Recorded > 0)
     --Recorded;
@@ -505,7 +474,7 @@
                   Promotion.Reports.contains(Promotion.OldLeader) ||
                   !Table_.find(Promotion.OldLeader);
   bool Complete = Reported >= Expected && OldHeard;
-  if (replaceableRevision(Group, Promotion) != Promotion.SeenRevision) {
+  if (replaceableRevision(Group) != Promotion.SeenRevision) {
     enter(Group, Promotion, PromotionStage::Watching, Now,
           "the record has changed");
     return;
@@ -581,7 +550,7 @@
                             TimePoint Now) {
   const LeadershipRecord *Record = Authority_.recordOf(Group);
   if (!Record)
-    Record = restoredRecord(Group, Promotion);
+    Record = Restored_.find(Group);
   LeadershipRecord Claim;
   Claim.Group = Group;
   Claim.Leader = Promotion.NextLeader;
@@ -596,7 +565,7 @@
 void PromotionSystem::beginWaiting(const GroupId &Group,
                                    GroupPromotion &Promotion,
                                    StoreRevision ClaimRevision, TimePoint Now) {
-  Promotion.Restored.reset();
+  Restored_.onWritten(Group);
   Promotion.ClaimWritePending = false;
   Promotion.ClaimRevision = ClaimRevision;
   Promotion.ClaimedAt = Now;
@@ -618,8 +587,7 @@
   if (!Settling && Promotion.Stage != PromotionStage::Claiming)
     return;
   if (Outcome != WriteOutcome::Written) {
-    // The next list shows whether there still is a restored record.
-    Promotion.Restored.reset();
+    Restored_.onWritten(Group);
     enter(Group, Promotion, PromotionStage::Watching, Now,
           Outcome == WriteOutcome::Conflict ? "another host was first"
                                             : "no answer");
@@ -731,7 +699,7 @@
   auto Next = Promotion.Reports.find(Promotion.NextLeader);
   bool Leads = Next != Promotion.Reports.end() &&
                Next->second.Report.Role == DatabaseRole::Primary;
-  if (Era_ > 0 && !Leads && Now - EraSeenAt_ < HostListRestoreTime)
+  if (!Leads && Restored_.mayLackHosts(Now))
     return false;
   return Hosts_.allAtRevision(Group, Promotion.ClaimRevision,
                               Promotion.ClaimedAt);
--- a/packages/sessions/promotionsystem.h
+++ b/packages/sessions/promotionsystem.h
@@ -6,6 +6,7 @@
 #include "sessions/leaderauthority.h"
 #include "sessions/leasemanager.h"
 #include "sessions/logcomparison.h"
+#include "sessions/restoredrecords.h"
 
 #include <functional>
 
@@ -146,10 +147,6 @@
     TimePoint StageSince;
     /// When a reason to replace the leader was first seen.
     std::optional<TimePoint> SuspectedAt;
-    /// What the store returned instead of a record of its present era: a
-    /// restored record, or one without a revision if there was none. See
-    /// restoredRecord().
-    std::optional<LeadershipRecord> Restored;
     /// Revision of the group's record, and when this host first saw it.
     StoreRevision SeenRevision;
     TimePoint SeenAt;
@@ -192,10 +189,7 @@
                   GroupPromotion &Promotion, TimePoint Now);
   void watchRestored(const GroupId &Group, GroupPromotion &Promotion,
                      TimePoint Now);
-  const LeadershipRecord *restoredRecord(const GroupId &Group,
-                                         const GroupPromotion &Promotion) const;
-  StoreRevision replaceableRevision(const GroupId &Group,
-                                    const GroupPromotion &Promotion) const;
+  StoreRevision replaceableRevision(const GroupId &Group) const;
   bool areHostsUpdated(const GroupId &Group, const GroupPromotion &Promotion,
                        TimePoint Now) const;
   void createFirstRecord(const GroupId &Group, GroupPromotion &Promotion,
@@ -255,9 +249,7 @@
   Hooks Hooks_;
   LeaseManager Lease_;
   bool RecordsListed_ = false;
-  /// Era of the latest list of records, and when this host first saw it.
-  std::uint64_t Era_ = 0;
-  TimePoint EraSeenAt_;
+  RestoredRecords Restored_;
   std::optional<TimePoint> ListTrustedSince_;
   std::optional<TimePoint> DatabasesListedAt_;
   std::optional<TimePoint> StoreReachedSince_;
