Restore the store in the soak, and crash the primary at its end

A third series of faults: the store is away for up to 1.5 s and comes back from a copy up to 5 s older, a quarter of the times with all processes killed. The operator and the databases write their objects again.

An object that the stand-in's copy lacks is not erased a second time.

--- a/testing/soak/deployment.cpp
+++ b/testing/soak/deployment.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds ExitPollInterval{50};
 /// Time after which the list entry of a crashed database is removed.
 constexpr milliseconds ListEntryLifetime{2500};
+/// Time after which the operator and the databases write their objects again.
+constexpr milliseconds RewriteDelay{700};
 /// The slots of a database are divided among six zones of which two have hosts,
 /// so that zones have few slots and some hosts relay statements.
 const std::vector<std::string> Zones{"z1", "z2", "z3", "z4", "z5", "z6"};
@@ -130,7 +132,21 @@
                                {"TimeoutMs", 1000},
                                {"Priority", 1}});
   Content["Services"] = {{{"Name", "g"}, {"MaxConnections", 34}}};
-  Store_.put("config", "main", Content);
+  Configuration_ = std::move(Content);
+  Store_.put("config", "main", Configuration_);
+}
+
+void Deployment::restoreStore() {
+  Store_.restore();
+  schedule(RewriteDelay, [this] {
+    Store_.put("config", "main", Configuration_);
+    for (const auto &[Id, Proxy] : Proxies_) {
+      if (!Databases_.isUp(Id))
+        Store_.erase("servers", Id);
+      else
+        putDatabaseEntry(Id, Id == Replaced_ ? "draining" : "ready");
+    }
+  });
 }
 
 void Deployment::schedule(milliseconds Time, std::function<void()> Action) {
--- a/testing/soak/deployment.h
+++ b/testing/soak/deployment.h
@@ -46,6 +46,9 @@
   void putOddEntry(std::string Content, std::chrono::milliseconds Duration);
   /// Stores the next version of the configuration.
   void putNextConfiguration();
+  /// Returns the store to its copy. The operator and the databases write their
+  /// objects again shortly after.
+  void restoreStore();
   ObjectApi &store() { return Store_; }
   SessionDatabases &databases() { return Databases_; }
   FaultProxy &storeProxy(std::size_t Host) { return *Hosts_[Host].Store; }
@@ -84,6 +87,8 @@
   ProcessTable Processes_;
   std::vector<std::string> UnexpectedExits_;
   std::uint64_t Version_ = 0;
+  /// Latest version of the configuration.
+  nlohmann::json Configuration_;
   /// Database that is being replaced; empty if there is none.
   std::string Replaced_;
   /// Start of each database that was replaced, for its entry.
--- a/testing/soak/faults.cpp
+++ b/testing/soak/faults.cpp
@@ -10,6 +10,8 @@
 
 /// Added to the seed of the changes in the list of databases.
 static constexpr std::uint32_t ListSeedOffset = 1000003;
+/// Added to the seed of the restores of the store.
+static constexpr std::uint32_t RestoreSeedOffset = 2000003;
 
 /// Contents of entries that another program may have written.
 static const std::vector<std::string> &oddContents() {
@@ -33,7 +35,9 @@
 Faults::Faults(boost::asio::io_context &Io, Deployment &Target,
                std::uint32_t Seed)
     : Io_(Io), Deployment_(Target), Random_(Seed),
-      ListRandom_(Seed + ListSeedOffset), Timer_(Io), ListTimer_(Io) {}
+      ListRandom_(Seed + ListSeedOffset),
+      RestoreRandom_(Seed + RestoreSeedOffset), Timer_(Io), ListTimer_(Io),
+      RestoreTimer_(Io) {}
 
 std::string_view Faults::nameOf(Kind Fault) {
   constexpr std::array<std::string_view, KindCount> Names{
@@ -59,12 +63,14 @@
 void Faults::start() {
   next();
   nextListChange();
+  nextRestore();
 }
 
 void Faults::stop() {
   Stopped_ = true;
   Timer_.cancel();
   ListTimer_.cancel();
+  RestoreTimer_.cancel();
   Deployment_.healProxies();
   Deployment_.store().setDown(false);
   Deployment_.store().setUnansweredWriteShare(0);
@@ -93,6 +99,43 @@
   });
 }
 
+int Faults::restoreRandomBetween(int Least, int Greatest) {
+  return std::uniform_int_distribution<>(Least, Greatest)(RestoreRandom_);
+}
+
+void Faults::nextRestore() {
+  RestoreTimer_.expires_after(milliseconds{restoreRandomBetween(1000, 8000)});
+  RestoreTimer_.async_wait([this](auto Cancelled) {
+    if (Cancelled || Stopped_)
+      return;
+    restore();
+    nextRestore();
+  });
+}
+
+void Faults::restore() {
+  milliseconds Age{restoreRandomBetween(0, 5000)};
+  milliseconds Away{restoreRandomBetween(0, 1500)};
+  bool KillsAll = restoreRandomBetween(0, 3) == 0;
+  std::cout << "store restored in " << (Age + Away).count() << " ms from now"
+            << (KillsAll ? ", all processes killed" : "") << std::endl;
+  Deployment_.store().copy();
+  schedule(Age, [this, KillsAll, Away] {
+    if (Stopped_)
+      return;
+    Deployment_.store().setDown(true);
+    for (std::size_t Host = 0; KillsAll && Host < Deployment_.size(); ++Host)
+      if (Deployment_.isUp(Host))
+        Deployment_.restart(Host, /*Gracefully=*/false, Away);
+  });
+  schedule(Age + Away, [this] {
+    if (Stopped_)
+      return;
+    Deployment_.store().setDown(false);
+    Deployment_.restoreStore();
+  });
+}
+
 void Faults::change(ListChange Change) {
   milliseconds Duration{listRandomBetween(200, 4000)};
   switch (Change) {
--- a/testing/soak/faults.h
+++ b/testing/soak/faults.h
@@ -50,6 +50,11 @@
   enum class ListChange { DatabaseReplaced, OddEntry };
   static constexpr int ListChangeCount = 2;
 
+  /// The store comes back from a copy, alone or together with a restart of all
+  /// processes. A series of its own, as the changes in the list of databases.
+  void nextRestore();
+  void restore();
+
   void next();
   void inject(Kind Fault);
   void nextListChange();
@@ -57,14 +62,17 @@
   void schedule(std::chrono::milliseconds Time, std::function<void()> Action);
   int randomBetween(int Least, int Greatest);
   int listRandomBetween(int Least, int Greatest);
+  int restoreRandomBetween(int Least, int Greatest);
   std::string randomDatabase();
 
   boost::asio::io_context &Io_;
   Deployment &Deployment_;
   std::mt19937 Random_;
   std::mt19937 ListRandom_;
+  std::mt19937 RestoreRandom_;
   boost::asio::steady_timer Timer_;
   boost::asio::steady_timer ListTimer_;
+  boost::asio::steady_timer RestoreTimer_;
   std::chrono::steady_clock::time_point LastFaultAt_;
   bool Stopped_ = false;
 };
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -19,6 +19,9 @@
 /// Long enough for some callers to connect to each host.
 constexpr milliseconds ServiceCheck{4000};
 constexpr milliseconds WatchInterval{100};
+/// Time in which a lost primary must be replaced once the faults have ended.
+constexpr milliseconds ReplacementTime{12000};
+constexpr milliseconds ReplacementPollInterval{100};
 
 /// One soak run: callers under faults, a recovery phase without faults, then
 /// the checks.
@@ -42,6 +45,8 @@
     Faults_.stop();
     Io_.run_for(RecoveryTime);
     std::vector<std::string> Violations = findUnservedHosts();
+    for (std::string &Line : findUnreplacedPrimary())
+      Violations.push_back(std::move(Line));
     Callers_.stop();
     Io_.run_for(LastAnswers);
     for (std::string &Line :
@@ -88,6 +93,22 @@
     return Violations;
   }
 
+  /// Crashes the primary and waits for another one. A group may be served and
+  /// still not be able to replace its primary.
+  std::vector<std::string> findUnreplacedPrimary() {
+    std::string Lost = Deployment_.databases().primary();
+    Deployment_.crash(Lost, ReplacementTime * 2);
+    milliseconds Waited{0};
+    while (Deployment_.databases().primary() == Lost &&
+           Waited < ReplacementTime) {
+      Io_.run_for(ReplacementPollInterval);
+      Waited += ReplacementPollInterval;
+    }
+    if (Deployment_.databases().primary() != Lost)
+      return {};
+    return {"the lost primary " + Lost + " is not replaced after the faults"};
+  }
+
   boost::asio::io_context Io_;
   boost::asio::steady_timer Timer_{Io_};
   Deployment Deployment_;
--- a/testing/standinsessions/objectapi.cpp
+++ b/testing/standinsessions/objectapi.cpp
@@ -62,6 +62,8 @@
 }
 
 void ObjectApi::erase(const std::string &Kind, const std::string &Name) {
+  if (!Present_.Objects[Kind].contains(Name))
+    return;
   ++Present_.Revision;
   notifyWatches(Kind, Name, true);
   Present_.Objects[Kind].erase(Name);
