Let the stand-in for databases pause replicas

Traced: after two restores a slot names a former host, which tells nobody that it follows a claim, so the promoter pauses the databases instead. The stand-in took PAUSE without a report and without effect, so the promoter claimed anew every 5 s.

The stand-in now keeps the term of a pause, by the platform's page: above the newest term, until RESUME, a promotion or a restart.

--- a/testing/standinsessions/sessiondatabases.cpp
+++ b/testing/standinsessions/sessiondatabases.cpp
@@ -68,6 +68,7 @@
 void SessionDatabases::crash(const std::string &Id) {
   Member &Crashed = *Members_.at(Id);
   Crashed.Up = false;
+  Crashed.PausedTerm = 0;
   Crashed.Acceptor.close();
   for (auto &Stream : Crashed.Streams)
     Stream->close();
@@ -79,6 +80,8 @@
     return;
   Primary_ = Id;
   ++Term_;
+  for (auto &[Name, Known] : Members_)
+    Known->PausedTerm = 0;
 }
 
 void SessionDatabases::onLine(const std::string &Id, Session &Client,
@@ -132,10 +135,19 @@
 std::string SessionDatabases::runControlStatement(const std::string &Id,
                                                   Session &Client,
                                                   const std::string &Text) {
-  if (Text == "STATUS")
+  std::uint64_t &PausedTerm = Members_.at(Id)->PausedTerm;
+  if (Text.starts_with("PAUSE ")) {
+    std::uint64_t Term = std::stoull(Text.substr(6));
+    if (Id != Primary_ && Term > std::max(Term_, PausedTerm))
+      PausedTerm = Term;
+  }
+  if (Text == "RESUME")
+    PausedTerm = 0;
+  if (Text == "STATUS" || Text == "RESUME" || Text.starts_with("PAUSE "))
     return "DATAROW " + std::string(Id == Primary_ ? "primary " : "replica ") +
            std::to_string(Term_) + " " + std::to_string(Term_) + "." +
-           std::to_string(Index_) + " 0 0 0 1\r\n";
+           std::to_string(Index_) + " " + std::to_string(PausedTerm) +
+           " 0 0 1\r\n";
   if (Text.starts_with("BEGIN")) {
     Client.State = "T";
     Client.Transaction = ++LastTransaction_;
--- a/testing/standinsessions/sessiondatabases.h
+++ b/testing/standinsessions/sessiondatabases.h
@@ -71,6 +71,9 @@
     std::vector<std::shared_ptr<MessageStream>> Streams;
     bool Up = true;
     bool Silent = false;
+    /// Term of the pause in force; zero: none. A paused replica reports it, but
+    /// goes on to have the shared log.
+    std::uint64_t PausedTerm = 0;
     std::uint16_t Port = 0;
   };
   struct Session {
